--- /dev/null
+++ b/crates/adapter/src/names.rs
@@ -0,0 +1,76 @@
+//! The wire's words for settings, and ours.
+
+use umbertray::interface::Settings;
+
+const NAMES: &[(&str, &str)] = &[
+    ("capDepth", "limit_burst"),
+    ("capSlack", "limit_slack"),
+    ("coldS", "cold_time"),
+    ("contracts", "plans"),
+    ("countsOthers", "tells_elsewhere"),
+    ("deadlineS", "op_timeout"),
+    ("dialTimeoutS", "connect_timeout"),
+    ("effect", "repeats"),
+    ("fallS", "fall_time"),
+    ("familyInfo", "stores"),
+    ("gain", "utility"),
+    ("graceToAnswerS", "answer_grace"),
+    ("groupSize", "gateways"),
+    ("inTurn", "in_order"),
+    ("lateShare", "late_utility"),
+    ("maxAttempts", "max_dispatches"),
+    ("mayDuplicate", "second_copies"),
+    ("profiles", "op_types"),
+    ("promiseS", "target_latency"),
+    ("aimStretch", "target_stretch"),
+    ("repeatRatio", "further_share"),
+    ("resendSpanS", "further_span"),
+    ("reservation", "reserve"),
+    ("shareWorth", "share_utility"),
+    ("spareAttempts", "further_free"),
+    ("spareWorth", "spare_utility"),
+    ("tipMultiple", "fall_multiple"),
+    ("windowS", "dedup_span"),
+    ("worthFactor", "price"),
+];
+
+const VALUES: &[(&str, &str)] = &[
+    ("free", "replayable"),
+    ("guarded", "deduplicated"),
+    ("single_shot", "once_only"),
+    ("automatic", "pushed"),
+    ("subscribe", "asked"),
+];
+
+/// One step of a path: from the table, else its own words in snake case without the mark of seconds.
+fn step(wire: &str) -> String {
+    if let Some((_, ours)) = NAMES.iter().find(|(name, _)| *name == wire) {
+        return (*ours).into();
+    }
+    let bare = match wire.strip_suffix('S') {
+        Some(head) if head.ends_with(|c: char| c.is_ascii_lowercase()) => head,
+        _ => wire,
+    };
+    let mut ours = String::with_capacity(bare.len() + 4);
+    for c in bare.chars() {
+        if c.is_ascii_uppercase() {
+            ours.push('_');
+        }
+        ours.push(c.to_ascii_lowercase());
+    }
+    ours
+}
+
+/// The first message's lines as settings in our words; lines without a value are skipped.
+pub fn settings(boot_info: &str) -> Settings {
+    boot_info
+        .lines()
+        .filter_map(|line| line.split_once('='))
+        .map(|(path, value)| {
+            let path = path.split('.').map(step).collect::<Vec<_>>().join(".");
+            let known = path.ends_with(".repeats") || path == "discovery";
+            let renamed = VALUES.iter().find(|(wire, _)| known && *wire == value);
+            (path, renamed.map_or(value, |(_, ours)| ours).to_string())
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,920 @@
+//! Every decision of a gateway: which held op goes to which store, when, and which is turned away.
+//!
+//! Callers build one [`Gateway`] an instance and feed [`Gateway::handle`] all that happened at one moment; it
+//! returns what is to be done, in order. Events, actions and plain types are in [`crate::interface`]. The first
+//! event is `Start`. There is no clock, wire or shared state here: time is what the caller says, and chance
+//! comes from the seed and a counter.
+//!
+//! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count of ops and a quantum
+//! of time, the next turn goes to the smallest tag, and a cap bounds the units out. What departs from it is
+//! marked "Departure" beside the code and explained in docs/design.md.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use crate::interface::{
+    Action, Answer, Event, ListNews, Listing, Op, OpId, Outcome, Settings, StoreId, StoreState, VolumeId,
+};
+
+/// The quantum, against the shortest target latency sent to the store.
+const QUANTUM: f64 = 0.25;
+/// Weight of a new answer in a latency average, and the average's seed against the target latency.
+const SMOOTHING: f64 = 0.2;
+const SEED: f64 = 0.125;
+/// The cap on units out a store at first, and at most, in average ops.
+const FIRST_CAP: f64 = 4.0;
+const MOST_CAP: f64 = 16.0;
+/// The answer latency that the cap steers for, against the shortest target latency, and its step an answer.
+const STEER: f64 = 0.4;
+const STEP: f64 = 0.03;
+/// How often what only time changes is looked at, against the shortest target latency.
+const SWEEP: f64 = 0.0625;
+/// Silence that puts a store in doubt, against the shortest target latency and the store's average latency.
+const SILENCE: f64 = 0.5;
+const SILENCE_ANSWERS: f64 = 4.0;
+/// The share of a cold store's bearable units that all gateways together use; the rest covers handshakes.
+const COLD_SHARE: f64 = 0.8;
+/// A volume idle at a store for so long is dropped.
+const IDLE: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Repeats {
+    Replayable,
+    Deduplicated,
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+struct OpType {
+    target: Duration,
+    timeout: Duration,
+    utility: f64,
+    repeats: Repeats,
+    scope: Scope,
+    dedup_span: Duration,
+    in_order: bool,
+}
+
+struct Plan {
+    weight: f64,
+    limit: f64,
+    limit_burst: f64,
+}
+
+/// What became of one dispatch.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRan,
+}
+
+struct Dispatch {
+    store: StoreId,
+    at: Duration,
+    fate: Fate,
+}
+
+struct Taken {
+    op: Op,
+    /// Until when an answer earns the full utility, and when the final answer is due.
+    target_at: Duration,
+    end_at: Duration,
+    held_at: Option<StoreId>,
+    dispatches: Vec<Dispatch>,
+    ended: bool,
+    streaming: bool,
+}
+
+impl Taken {
+    fn out(&self) -> usize {
+        self.dispatches.iter().filter(|d| d.fate == Fate::Out).count()
+    }
+}
+
+/// A volume at a store.
+struct Share {
+    held: Vec<OpId>,
+    out: usize,
+    tag: f64,
+    latency: f64,
+    seen: Duration,
+}
+
+struct Turn {
+    volume: VolumeId,
+    count: f64,
+    ends: Duration,
+}
+
+/// A store that may not answer: ops go one at a time, at growing intervals, until one is answered.
+struct Doubt {
+    since: Duration,
+    trial_at: Duration,
+    wait: Duration,
+}
+
+struct Store {
+    listing: Listing,
+    /// Since when it has been cold, and from when on it may be sent anything.
+    cold_since: Option<Duration>,
+    open_at: Duration,
+    /// Units sent, with their times, within the last span of the rule on cold stores.
+    spent: VecDeque<(Duration, f64)>,
+    out: BTreeMap<(OpId, u32), (Duration, f64)>,
+    volumes: BTreeMap<VolumeId, Share>,
+    turn: Option<Turn>,
+    last_key: Option<u64>,
+    cap: f64,
+    latency: f64,
+    shortest: Duration,
+    answered_at: Duration,
+    doubt: Option<Doubt>,
+}
+
+impl Store {
+    fn units_out(&self) -> f64 {
+        self.out.values().map(|&(_, units)| units).sum()
+    }
+    fn ready(&self) -> bool {
+        self.listing.state == StoreState::Ready
+    }
+    fn holds_any(&self) -> bool {
+        self.volumes.values().any(|share| !share.held.is_empty())
+    }
+    /// The store's latency as far as an op with this target latency is concerned. Half the target latency at
+    /// most: a slow spell must not make every fresh op late on arrival, or nothing would show its end.
+    fn expected(&self, target: Duration) -> Duration {
+        Duration::from_secs_f64(self.latency).min(target / 2)
+    }
+}
+
+/// The ops of one key in the order they were taken.
+#[derive(Default)]
+struct Line {
+    ops: VecDeque<OpId>,
+    rest_until: Duration,
+}
+
+/// This gateway's part of a volume's limit.
+struct Allowance {
+    units: f64,
+    at: Duration,
+}
+
+#[derive(Default)]
+pub struct Gateway {
+    running: Option<Running>,
+}
+
+impl Gateway {
+    /// Takes what happened at `now` and returns what is to be done.
+    pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for event in events {
+            match (event, &mut self.running) {
+                (Event::Start { seed, settings }, running) => match Running::start(now, seed, settings) {
+                    Ok(started) => *running = Some(started),
+                    Err(name) => {
+                        actions.push(Action::Fatal(format!("setting {name} is missing or unreadable")))
+                    }
+                },
+                (event, Some(running)) => running.take(now, event),
+                (_, None) => {}
+            }
+        }
+        if let Some(running) = &mut self.running {
+            running.pump_all();
+            actions.append(&mut running.actions);
+        }
+        actions
+    }
+}
+
+struct Running {
+    now: Duration,
+    started: Duration,
+    seed: u64,
+    draws: u64,
+    settings: Settings,
+    op_types: Vec<OpType>,
+    plans: Vec<Plan>,
+    mean_units: f64,
+    shortest: Duration,
+    ops: BTreeMap<OpId, Taken>,
+    stores: BTreeMap<StoreId, Store>,
+    lines: BTreeMap<u64, Line>,
+    allowances: BTreeMap<VolumeId, Allowance>,
+    /// When ops were taken and further dispatches made, within the budget's span.
+    taken: VecDeque<Duration>,
+    further: VecDeque<Duration>,
+    list_failures: u32,
+    subscribe_at: Option<Duration>,
+    sweep_at: Duration,
+    actions: Vec<Action>,
+}
+
+fn number(settings: &Settings, name: &str) -> Result<f64, String> {
+    let value = settings.get(name).and_then(|text| text.parse::<f64>().ok());
+    value.filter(|v| v.is_finite() && *v >= 0.0).ok_or_else(|| name.to_string())
+}
+
+fn span(settings: &Settings, name: &str) -> Result<Duration, String> {
+    Duration::try_from_secs_f64(number(settings, name)?).map_err(|_| name.to_string())
+}
+
+impl Running {
+    fn start(now: Duration, seed: u64, settings: Settings) -> Result<Running, String> {
+        let s = &settings;
+        let word = |name: &str| s.get(name).map(String::as_str);
+        let mut op_types = Vec::new();
+        for i in 0..number(s, "op_types.count")? as usize {
+            let name = |field: &str| format!("op_types.{i}.{field}");
+            op_types.push(OpType {
+                target: span(s, &name("target_latency"))?,
+                timeout: span(s, &name("op_timeout"))?,
+                utility: number(s, &name("utility"))?,
+                repeats: match word(&name("repeats")) {
+                    Some("replayable") => Repeats::Replayable,
+                    Some("deduplicated") => Repeats::Deduplicated,
+                    Some("once_only") => Repeats::OnceOnly,
+                    _ => return Err(name("repeats")),
+                },
+                scope: match word(&name("dedup_scope")) {
+                    Some("all") => Scope::All,
+                    Some("zone") => Scope::Zone,
+                    _ => Scope::Cell,
+                },
+                dedup_span: span(s, &name("dedup_span")).unwrap_or_default(),
+                in_order: word(&name("in_order")) == Some("true"),
+            });
+        }
+        let mut plans = Vec::new();
+        for i in 0..number(s, "plans.count")? as usize {
+            let name = |field: &str| format!("plans.{i}.{field}");
+            plans.push(Plan {
+                weight: number(s, &name("weight"))?,
+                limit: number(s, &name("limit")).unwrap_or(0.0),
+                limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
+            });
+        }
+        number(s, "gateways")?;
+        for name in ["tick", "rules.cold_time", "rules.fall_time"] {
+            span(s, name)?;
+        }
+        let shortest = op_types.iter().map(|t| t.target).min().ok_or("op_types.count")?;
+        let asked = word("discovery") == Some("asked");
+        let mut running = Running {
+            now,
+            started: now,
+            seed,
+            draws: 0,
+            mean_units: number(s, "stores.mean_units")?,
+            op_types,
+            plans,
+            shortest,
+            ops: BTreeMap::new(),
+            stores: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            allowances: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            list_failures: 0,
+            subscribe_at: asked.then_some(now),
+            sweep_at: now,
+            actions: Vec::new(),
+            settings,
+        };
+        running.sweep();
+        Ok(running)
+    }
+
+    /// A setting that may be absent.
+    fn setting(&self, name: &str, otherwise: f64) -> f64 {
+        number(&self.settings, name).unwrap_or(otherwise)
+    }
+
+    fn setting_span(&self, name: &str) -> Duration {
+        span(&self.settings, name).unwrap_or_default()
+    }
+
+    /// Between 0 and 1, the same for the same seed and count of draws.
+    fn chance(&mut self) -> f64 {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.draws).hash(&mut hasher);
+        hasher.finish() as f64 / u64::MAX as f64
+    }
+
+    fn take(&mut self, now: Duration, event: Event) {
+        self.now = now;
+        match event {
+            Event::List(news) => self.listed(news),
+            Event::Arrived(op) => self.arrived(op),
+            Event::StreamBegan { op } => {
+                if let Some(taken) = self.ops.get_mut(&op) {
+                    taken.streaming = true;
+                }
+            }
+            Event::Answered(answer) => self.answered(&answer),
+            Event::ClientLeft { op } => self.part(op),
+            Event::Timer { .. } if now >= self.sweep_at => self.sweep(),
+            Event::Timer { .. } | Event::Probed { .. } | Event::Start { .. } => {}
+        }
+    }
+
+    // The list of stores.
+
+    fn listed(&mut self, news: ListNews) {
+        let (whole, listings) = match news {
+            ListNews::Failed => {
+                // The notice may belong to a call or a subscription: ask again, later each time and not in step
+                // with other gateways, for the list serves few calls at once.
+                self.list_failures += 1;
+                let most = self.setting_span("rules.ask_within");
+                let wait =
+                    (most / 16 * 2u32.pow(self.list_failures.min(4))).mul_f64(0.5 + self.chance() / 2.0);
+                self.subscribe_at = Some(self.now + wait);
+                return;
+            }
+            ListNews::Changes(listings) => (false, listings),
+            ListNews::Full(listings) | ListNews::Cached(listings) => (true, listings),
+        };
+        self.list_failures = 0;
+        if whole {
+            for (id, store) in &mut self.stores {
+                if !listings.iter().any(|listing| listing.store == *id) {
+                    store.listing.state = StoreState::Gone;
+                }
+            }
+        }
+        for listing in listings {
+            self.listed_one(listing);
+        }
+        let held: Vec<OpId> =
+            self.ops.iter().filter(|(_, t)| t.held_at.is_some()).map(|(id, _)| *id).collect();
+        for op in held {
+            self.hold(op);
+        }
+    }
+
+    fn listed_one(&mut self, listing: Listing) {
+        let news = match self.stores.get(&listing.store) {
+            Some(known) => known.listing.started != listing.started || !known.ready(),
+            None => true,
+        };
+        let back = news && listing.state == StoreState::Ready && listing.started.is_some();
+        // A store just back meets all gateways at once; a random wait spreads their first ops.
+        let open_at = if back {
+            self.now + self.setting_span("rules.fall_time").mul_f64(self.chance())
+        } else {
+            self.now
+        };
+        let (cap, shortest) = (FIRST_CAP * self.mean_units, self.shortest);
+        let store = self.stores.entry(listing.store).or_insert_with(|| Store {
+            listing: listing.clone(),
+            cold_since: None,
+            open_at,
+            spent: VecDeque::new(),
+            out: BTreeMap::new(),
+            volumes: BTreeMap::new(),
+            turn: None,
+            last_key: None,
+            cap,
+            latency: shortest.as_secs_f64() * SEED,
+            shortest,
+            answered_at: self.now,
+            doubt: None,
+        });
+        if back {
+            store.cold_since = listing.started;
+            store.open_at = open_at;
+            store.doubt = None;
+        }
+        store.listing = listing;
+    }
+
+    // Ops coming in and going out.
+
+    fn arrived(&mut self, op: Op) {
+        let (Some(op_type), Some(_)) = (self.op_types.get(op.op_type), self.plans.get(op.plan)) else {
+            self.actions.push(Action::Abort { op: op.id });
+            return;
+        };
+        self.taken.push_back(self.now);
+        // The final answer must be in before the client's own time is up; a sweep may come this much late.
+        let margin = self.shortest.mul_f64(SWEEP) + 3 * self.setting_span("tick");
+        // What a client has waited through earlier tries shows in the time it has left.
+        let waited = op_type.timeout.saturating_sub(op.left);
+        let taken = Taken {
+            target_at: self.now + op_type.target.saturating_sub(waited),
+            end_at: self.now + op.left.saturating_sub(margin),
+            held_at: None,
+            dispatches: Vec::new(),
+            ended: false,
+            streaming: false,
+            op,
+        };
+        let id = taken.op.id;
+        if let Some(key) = taken.op.key.filter(|_| op_type.in_order) {
+            self.lines.entry(key).or_default().ops.push_back(id);
+        }
+        // A client's last try may come with too little time left even to be looked at by the next sweep.
+        let hopeless = taken.end_at <= self.now;
+        self.ops.insert(id, taken);
+        if hopeless { self.settle(id) } else { self.hold(id) }
+    }
+
+    /// Holds an op at the store that is to have it, or moves it there.
+    fn hold(&mut self, id: OpId) {
+        let to = self.home(&self.ops[&id]);
+        let taken = self.ops.get_mut(&id).expect("a held op is known");
+        let (volume, target) = (taken.op.volume, self.op_types[taken.op.op_type].target);
+        if to.is_some() && to == taken.held_at {
+            return;
+        }
+        if let Some(from) = taken.held_at.take() {
+            self.unhold(id, from, volume);
+        }
+        let Some(to) = to else { return self.settle(id) };
+        self.ops.get_mut(&id).expect("a held op is known").held_at = Some(to);
+        let store = self.stores.get_mut(&to).expect("a home is known");
+        let active = store.volumes.values().filter(|share| !share.held.is_empty() || share.out > 0);
+        let floor = active.map(|share| share.tag).fold(f64::INFINITY, f64::min);
+        let floor = if floor.is_finite() { floor } else { 0.0 };
+        let now = self.now;
+        let share = store.volumes.entry(volume).or_insert_with(|| Share {
+            held: Vec::new(),
+            out: 0,
+            tag: floor,
+            latency: target.as_secs_f64() * SEED,
+            seen: now,
+        });
+        if share.held.is_empty() && share.out == 0 {
+            share.tag = share.tag.max(floor);
+        }
+        share.seen = now;
+        share.held.push(id);
+    }
+
+    fn unhold(&mut self, id: OpId, store: StoreId, volume: VolumeId) {
+        if let Some(share) = self.stores.get_mut(&store).and_then(|s| s.volumes.get_mut(&volume)) {
+            share.held.retain(|op| *op != id);
+        }
+    }
+
+    /// The store that holds the op's shard; for a new object the volume's ranking decides.
+    fn home(&self, taken: &Taken) -> Option<StoreId> {
+        if let Some(shard) = taken.op.shard {
+            let of_shard = self.stores.iter().filter(|(_, store)| store.listing.shard == shard);
+            return of_shard.max_by_key(|(_, s)| (s.ready(), s.listing.started)).map(|(id, _)| *id);
+        }
+        let rank = |store: &Store| {
+            let mut hasher = DefaultHasher::new();
+            (taken.op.volume_name, store.listing.shard).hash(&mut hasher);
+            hasher.finish()
+        };
+        let tried = |id: &StoreId| taken.dispatches.iter().any(|d| d.store == *id);
+        let load = |store: &Store| {
+            let held: usize = store.volumes.values().map(|share| share.held.len()).sum();
+            (store.units_out() + held as f64 * self.mean_units) / store.cap
+        };
+        let fit = |id: &StoreId, store: &Store| {
+            store.ready() && store.doubt.is_none() && self.cold_room(store) >= taken.op.units && !tried(id)
+        };
+        let ranked = self.stores.iter().filter(|(_, store)| store.ready());
+        ranked
+            .filter(|(id, _)| self.may_resend(taken, **id))
+            .min_by_key(|(id, store)| {
+                // A store with its cap out and held has enough; if all have, the least laden takes it.
+                let load = if fit(id, store) { load(store) } else { f64::from(u32::MAX) };
+                let rounds = if load < 1.0 { 0 } else { (load * 4.0) as u64 };
+                (rounds, Reverse(rank(store)))
+            })
+            .map(|(id, _)| *id)
+    }
+
+    /// Rule 2: no effect twice, and no two dispatches at once where they are not allowed.
+    fn may_resend(&self, taken: &Taken, to: StoreId) -> bool {
+        let op_type = &self.op_types[taken.op.op_type];
+        if taken.dispatches.iter().any(|d| d.fate == Fate::Out) {
+            return false;
+        }
+        let Some(first) = taken.dispatches.iter().find(|d| d.fate != Fate::NeverRan) else {
+            return true;
+        };
+        match op_type.repeats {
+            Repeats::Replayable => true,
+            Repeats::OnceOnly => false,
+            Repeats::Deduplicated => {
+                let (Some(a), Some(b)) = (self.stores.get(&first.store), self.stores.get(&to)) else {
+                    return false;
+                };
+                let remembered = self.now + self.setting_span("tick") < first.at + op_type.dedup_span;
+                remembered
+                    && match op_type.scope {
+                        Scope::All => true,
+                        Scope::Zone => a.listing.zone == b.listing.zone,
+                        Scope::Cell => a.listing.shard == b.listing.shard,
+                    }
+            }
+        }
+    }
+
+    /// Further dispatches go by utility: all that are allowed for the op type worth most, fewer for others.
+    fn dispatches_left(&self, taken: &Taken) -> bool {
+        let most = self.setting("limits.max_dispatches", 1.0).max(1.0);
+        let best = self.op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+        let worth = self.op_types[taken.op.op_type].utility / best;
+        (taken.dispatches.len() as f64) < 1.0 + ((most - 1.0) * worth).round()
+    }
+
+    /// Rule 6: the budget of further dispatches within its span.
+    fn budget_left(&self) -> bool {
+        let Ok(share) = number(&self.settings, "rules.further_share") else {
+            return true;
+        };
+        let within = |at: &&Duration| **at + self.setting_span("rules.further_span") > self.now;
+        let taken = self.taken.iter().filter(within).count() as f64;
+        let further =
+            self.further.iter().filter(|at| **at + self.setting_span("rules.further_span") >= self.now);
+        further.count() as f64 + 1.0 <= self.setting("rules.further_free", 0.0) + share * taken
+    }
+
+    /// Rule 7: this gateway's part of the volume's limit. It starts empty, since an earlier run of this gateway
+    /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
+    fn limit_left(&mut self, id: OpId) -> bool {
+        let op = &self.ops[&id].op;
+        let plan = &self.plans[op.plan];
+        if plan.limit <= 0.0 {
+            return true;
+        }
+        let (rate, most) = (plan.limit / op.gateways.max(1.0), plan.limit_burst / op.gateways.max(1.0));
+        let (now, started) = (self.now, self.started);
+        let allowance = self.allowances.entry(op.volume).or_insert(Allowance { units: 0.0, at: started });
+        let filled = allowance.units + rate * now.saturating_sub(allowance.at).as_secs_f64();
+        *allowance = Allowance { units: filled.min(most), at: now };
+        allowance.units >= op.units
+    }
+
+    /// Rule 4: units that this gateway may still send a cold store now. All gateways use an even part of what a
+    /// store bears at its age when it warms as slowly as is stated. Nothing in the first span after this
+    /// gateway's own start: what an earlier run of it sent still counts.
+    fn cold_room(&self, store: &Store) -> f64 {
+        let Some(since) = store.cold_since else {
+            return f64::INFINITY;
+        };
+        let (whole, window) = (self.setting_span("rules.cold_time"), self.setting_span("rules.fall_time"));
+        let age = self.now.saturating_sub(since);
+        if age >= whole {
+            return f64::INFINITY;
+        }
+        if self.now < self.started + window {
+            return 0.0;
+        }
+        let from = self.setting("rules.cold_from", 1.0).max(f64::MIN_POSITIVE);
+        let warmth = 1.0 + (1.0 - from) / from * age.as_secs_f64() / whole.as_secs_f64();
+        let spent: f64 =
+            store.spent.iter().filter(|(at, _)| *at + window >= self.now).map(|(_, units)| units).sum();
+        let bearable = self.setting("stores.cold_units", self.mean_units) * warmth * COLD_SHARE;
+        bearable / self.setting("gateways", 1.0).max(1.0) - spent
+    }
+
+    /// Rule 5: it is this op's turn among those of its key.
+    fn in_turn(&self, taken: &Taken) -> bool {
+        let Some(line) = taken.op.key.and_then(|key| self.lines.get(&key)) else {
+            return true;
+        };
+        if !self.op_types[taken.op.op_type].in_order {
+            return true;
+        }
+        let rested = self.now >= line.rest_until || !taken.dispatches.is_empty();
+        line.ops.front() == Some(&taken.op.id) && rested
+    }
+
+    fn late(&self, taken: &Taken, store: &Store) -> bool {
+        self.now + store.expected(self.op_types[taken.op.op_type].target) > taken.target_at
+    }
+
+    // Turns.
+
+    fn pump_all(&mut self) {
+        let stores: Vec<StoreId> =
+            self.stores.iter().filter(|(_, s)| s.holds_any()).map(|(id, _)| *id).collect();
+        for id in stores {
+            while let Some(op) = self.next(id) {
+                self.dispatch(op, id);
+            }
+        }
+    }
+
+    /// The op of a volume that goes next: one that continues the run on a key, else the one of most utility,
+    /// else the one taken first.
+    fn pick(&mut self, store: StoreId, volume: VolumeId, late: bool) -> Option<OpId> {
+        let place = &self.stores[&store];
+        let room = self.cold_room(place);
+        let may_go = |id: &OpId| {
+            let taken = &self.ops[id];
+            taken.op.units <= room
+                && self.in_turn(taken)
+                && self.may_resend(taken, store)
+                && (taken.dispatches.is_empty() || self.budget_left())
+                && self.now < taken.end_at
+                && (late || !self.late(taken, place))
+        };
+        let mut able: Vec<OpId> =
+            place.volumes.get(&volume)?.held.iter().filter(|id| may_go(id)).copied().collect();
+        able.sort_by(|a, b| {
+            let (a, b) = (&self.ops[a].op, &self.ops[b].op);
+            let run = |op: &Op| op.key.is_some() && op.key == place.last_key;
+            let utility = |op: &Op| self.op_types[op.op_type].utility;
+            run(b).cmp(&run(a)).then(utility(b).total_cmp(&utility(a))).then(a.id.cmp(&b.id))
+        });
+        able.into_iter().find(|id| !self.ops[id].dispatches.is_empty() || self.limit_left(*id))
+    }
+
+    /// The next op to send to a store, if one may go now.
+    fn next(&mut self, id: StoreId) -> Option<OpId> {
+        let store = &self.stores[&id];
+        let trial = store.doubt.as_ref().is_some_and(|doubt| self.now < doubt.trial_at);
+        if !store.ready() || self.now < store.open_at || trial {
+            return None;
+        }
+        let mut volumes: Vec<VolumeId> =
+            store.volumes.iter().filter(|(_, s)| !s.held.is_empty()).map(|(v, _)| *v).collect();
+        volumes.sort_by(|a, b| store.volumes[a].tag.total_cmp(&store.volumes[b].tag));
+        // Departure: late ops go only when no volume holds one that can still be answered in time.
+        let on_time: Vec<VolumeId> =
+            volumes.iter().copied().filter(|v| self.pick(id, *v, false).is_some()).collect();
+        let late = on_time.is_empty();
+        let able = if late { volumes } else { on_time };
+        let store = &self.stores[&id];
+        if let Some(turn) = store.turn.as_ref().filter(|turn| able.contains(&turn.volume)) {
+            if turn.count >= 1.0 && self.now < turn.ends {
+                let op = self.pick(id, turn.volume, late)?;
+                return self.fits(id, op).then_some(op);
+            }
+            // Departure: in doubt, a hung op must not freeze the rotation until its time-out.
+            if store.volumes[&turn.volume].out > 0 && store.doubt.is_none() {
+                return None;
+            }
+        }
+        let (volume, op) = able.into_iter().find_map(|v| Some((v, self.pick(id, v, late)?)))?;
+        if !self.fits(id, op) {
+            return None;
+        }
+        let (now, mean) = (self.now, self.mean_units);
+        let store = self.stores.get_mut(&id)?;
+        let quantum = store.shortest.mul_f64(QUANTUM);
+        let count = quantum.as_secs_f64() / store.volumes[&volume].latency * store.cap / mean;
+        store.turn = Some(Turn { volume, count: count.max(1.0), ends: now + quantum });
+        Some(op)
+    }
+
+    fn fits(&self, store: StoreId, op: OpId) -> bool {
+        let store = &self.stores[&store];
+        store.out.is_empty() || store.units_out() + self.ops[&op].op.units <= store.cap
+    }
+
+    fn dispatch(&mut self, id: OpId, to: StoreId) {
+        let taken = self.ops.get_mut(&id).expect("a picked op is known");
+        let op = taken.op.clone();
+        taken.held_at = None;
+        if !taken.dispatches.is_empty() {
+            self.further.push_back(self.now);
+        } else if let Some(allowance) = self.allowances.get_mut(&op.volume) {
+            allowance.units -= op.units;
+        }
+        let number = taken.dispatches.len() as u32;
+        taken.dispatches.push(Dispatch { store: to, at: self.now, fate: Fate::Out });
+        let timeout = taken.end_at.saturating_sub(self.now);
+        self.unhold(id, to, op.volume);
+        let (target, weight) = (self.op_types[op.op_type].target, self.plans[op.plan].weight);
+        let store = self.stores.get_mut(&to).expect("a picked store is known");
+        store.shortest = store.shortest.min(target);
+        store.out.insert((id, number), (self.now, op.units));
+        store.spent.push_back((self.now, op.units));
+        store.last_key = op.key;
+        if let Some(doubt) = &mut store.doubt {
+            doubt.trial_at = self.now + doubt.wait;
+            doubt.wait = (doubt.wait * 2).min(self.shortest * 4);
+        }
+        let share = store.volumes.get_mut(&op.volume).expect("a picked volume is known");
+        share.out += 1;
+        share.seen = self.now;
+        share.tag += op.units / weight.max(f64::MIN_POSITIVE);
+        if let Some(turn) = &mut store.turn {
+            turn.count -= 1.0;
+        }
+        self.actions.push(Action::Dispatch { op: id, store: to, timeout });
+    }
+
+    // Answers.
+
+    fn answered(&mut self, answer: &Answer) {
+        let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
+        let Some(taken) = self.ops.get_mut(&answer.op) else {
+            return;
+        };
+        let fate = match answer.outcome {
+            Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
+            _ => Fate::MayHaveRan,
+        };
+        let Some(dispatch) = taken.dispatches.get_mut(answer.dispatch as usize) else {
+            return;
+        };
+        if dispatch.fate != Fate::Out {
+            return;
+        }
+        dispatch.fate = fate;
+        let place = dispatch.store;
+        let (volume, key, plan) = (taken.op.volume, taken.op.key, taken.op.plan);
+        let unknown = matches!(
+            answer.outcome,
+            Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::Unknown
+        );
+        if let Some(line) = key.filter(|_| unknown).and_then(|key| self.lines.get_mut(&key)) {
+            line.rest_until = now + span(&self.settings, "rules.order_pause").unwrap_or_default();
+        }
+        if let Some(store) = self.stores.get_mut(&place) {
+            store.out.remove(&(answer.op, answer.dispatch));
+            if let Some(share) = store.volumes.get_mut(&volume) {
+                share.out = share.out.saturating_sub(1);
+                share.seen = now;
+                // Service that the store gave the volume through other gateways counts like service from here.
+                share.tag += answer.elsewhere / self.plans[plan].weight.max(f64::MIN_POSITIVE);
+                if answer.outcome == Outcome::Acked {
+                    share.latency += SMOOTHING * (answer.latency.as_secs_f64() - share.latency);
+                }
+            }
+            match answer.outcome {
+                Outcome::Acked | Outcome::Error => {
+                    let down =
+                        self.settings.get("rules.fall_time").and_then(|v| v.parse().ok()).unwrap_or(0.0);
+                    if let Some(doubt) = store.doubt.take()
+                        && now.saturating_sub(doubt.since).as_secs_f64() > down
+                    {
+                        // Silent for long: it may have restarted before the list says so.
+                        store.cold_since = store.cold_since.max(Some(doubt.since));
+                    }
+                    store.answered_at = now;
+                }
+                Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
+                _ => Self::put_in_doubt(store, now, shortest),
+            }
+            if answer.outcome == Outcome::Acked {
+                // Other gateways fill the same queue: the cap follows the latency that answers show.
+                store.latency += SMOOTHING * (answer.latency.as_secs_f64() - store.latency);
+                let (goal, full) =
+                    (store.shortest.as_secs_f64() * STEER, store.units_out() + 2.0 * mean > store.cap);
+                if store.latency > goal {
+                    store.cap *= 1.0 - STEP;
+                } else if full {
+                    store.cap *= 1.0 + STEP;
+                }
+                store.cap = store.cap.clamp(mean, MOST_CAP * mean);
+            }
+        }
+        let taken = &self.ops[&answer.op];
+        if answer.ended || taken.ended || taken.streaming {
+            return self.part(answer.op);
+        }
+        let again = answer.outcome != Outcome::TimedOut && self.dispatches_left(taken) && now < taken.end_at;
+        if again && taken.out() == 0 {
+            self.hold(answer.op);
+        } else if taken.out() == 0 {
+            self.settle(answer.op);
+        }
+    }
+
+    fn put_in_doubt(store: &mut Store, now: Duration, shortest: Duration) {
+        let wait = shortest.mul_f64(QUANTUM);
+        store.doubt.get_or_insert(Doubt { since: now, trial_at: now + wait, wait: wait * 2 });
+    }
+
+    /// The op has ended: nothing more is sent for it. It is forgotten when nothing of it is out.
+    fn part(&mut self, id: OpId) {
+        let Some(taken) = self.ops.get_mut(&id) else {
+            return;
+        };
+        taken.ended = true;
+        let (out, key, volume) = (taken.out(), taken.op.key, taken.op.volume);
+        if let Some(store) = taken.held_at.take() {
+            self.unhold(id, store, volume);
+        }
+        if out == 0 {
+            self.ops.remove(&id);
+            if let Some(line) = key.and_then(|key| self.lines.get_mut(&key)) {
+                line.ops.retain(|op| *op != id);
+            }
+        }
+    }
+
+    /// The final answer to an op that this gateway gives up.
+    fn settle(&mut self, id: OpId) {
+        let taken = &self.ops[&id];
+        if taken.ended {
+            return;
+        }
+        let op_type = &self.op_types[taken.op.op_type];
+        let never_ran = taken.dispatches.iter().all(|d| d.fate == Fate::NeverRan);
+        let harmless = match op_type.repeats {
+            Repeats::Replayable => true,
+            Repeats::Deduplicated => never_ran || op_type.scope == Scope::All,
+            Repeats::OnceOnly => never_ran,
+        };
+        self.actions.push(if harmless {
+            let backlog = taken.held_at.and_then(|s| self.stores.get(&s)).map_or(0.0, |store| {
+                let held: usize = store.volumes.values().map(|share| share.held.len()).sum();
+                held as f64 * self.mean_units / store.cap * store.latency
+            });
+            let most = self.setting("limits.max_retry_after", 0.0);
+            let retry_after = Duration::from_secs_f64(backlog.max(op_type.target.as_secs_f64()).min(most));
+            Action::Throttle { op: id, retry_after }
+        } else {
+            Action::Abort { op: id }
+        });
+        self.part(id);
+    }
+
+    // What only time changes.
+
+    fn sweep(&mut self) {
+        let now = self.now;
+        self.sweep_at = now + self.shortest.mul_f64(SWEEP);
+        self.actions.push(Action::Timer { token: 0, at: self.sweep_at });
+        if self.subscribe_at.is_some_and(|at| now >= at) {
+            self.subscribe_at = None;
+            self.actions.push(Action::Subscribe);
+        }
+        let due: Vec<OpId> = self
+            .ops
+            .iter()
+            .filter(|(_, t)| !t.ended && !t.streaming && now >= t.end_at)
+            .map(|(id, _)| *id)
+            .collect();
+        due.into_iter().for_each(|id| self.settle(id));
+        let ids: Vec<StoreId> = self.stores.keys().copied().collect();
+        for id in ids {
+            self.sweep_store(id);
+        }
+        let kept = 2 * self.setting_span("rules.further_span");
+        for times in [&mut self.taken, &mut self.further] {
+            while times.front().is_some_and(|at| *at + kept < now) {
+                times.pop_front();
+            }
+        }
+        self.lines.retain(|_, line| !line.ops.is_empty() || line.rest_until > now);
+    }
+
+    fn sweep_store(&mut self, id: StoreId) {
+        let (now, shortest, window) = (self.now, self.shortest, self.setting_span("rules.fall_time"));
+        let store = self.stores.get_mut(&id).expect("a listed store is known");
+        while store.spent.front().is_some_and(|(at, _)| *at + 2 * window < now) {
+            store.spent.pop_front();
+        }
+        store.volumes.retain(|_, share| !share.held.is_empty() || share.out > 0 || share.seen + IDLE > now);
+        let patience =
+            shortest.mul_f64(SILENCE).max(Duration::from_secs_f64(store.latency * SILENCE_ANSWERS));
+        let silent = store.out.values().any(|(at, _)| (*at).max(store.answered_at) + patience < now);
+        if silent {
+            Self::put_in_doubt(store, now, shortest);
+        }
+        // New objects need not wait for a store in doubt.
+        let held: Vec<OpId> = store.volumes.values().flat_map(|share| share.held.iter().copied()).collect();
+        if store.doubt.is_some() || !store.ready() {
+            for op in &held {
+                if self.ops[op].op.shard.is_none() {
+                    self.hold(*op);
+                }
+            }
+        }
+        // Late ops wait for idle moments, one cap of them, the newest; the others hear at once that it is over.
+        let store = &self.stores[&id];
+        let mut keep = store.cap;
+        let mut over = Vec::new();
+        for op in held.iter().rev() {
+            let Some(taken) = self.ops.get(op).filter(|t| t.held_at == Some(id)) else {
+                continue;
+            };
+            let hopeless = now + store.expected(self.op_types[taken.op.op_type].target) > taken.end_at;
+            if hopeless || !taken.dispatches.is_empty() && !self.may_resend(taken, id) {
+                over.push(*op);
+            } else if self.late(taken, store) {
+                keep -= taken.op.units;
+                if keep < 0.0 {
+                    over.push(*op);
+                }
+            }
+        }
+        over.into_iter().for_each(|op| self.settle(op));
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,160 @@
+//! What the decision module is told and what it asks for, free of any wire.
+//!
+//! Ids are small indices that the caller hands out at the door. Times are spans since the clock's zero.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Names of settings and their values as text; spans are in seconds.
+pub type Settings = BTreeMap<String, String>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OpId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct VolumeId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One store as the list tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    pub store: StoreId,
+    pub shard: u32,
+    pub zone: u32,
+    /// When it last started; absent: long ago.
+    pub started: Option<Duration>,
+    pub state: StoreState,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListNews {
+    Changes(Vec<Listing>),
+    Full(Vec<Listing>),
+    /// The whole list as this gateway last held it, possibly old.
+    Cached(Vec<Listing>),
+    /// A call failed or a subscription broke; the list held before remains.
+    Failed,
+}
+
+/// An op that a client has handed to this gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Op {
+    pub id: OpId,
+    pub units: f64,
+    pub volume: VolumeId,
+    /// The volume's lasting name, the same at every gateway.
+    pub volume_name: u64,
+    /// The piece of data; absent: none.
+    pub key: Option<u64>,
+    /// The shard that holds the data; absent: a new object.
+    pub shard: Option<u32>,
+    /// How long the client still waits.
+    pub left: Duration,
+    pub plan: usize,
+    pub op_type: usize,
+    /// Through how many gateways the volume's ops come.
+    pub gateways: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Acked,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+    /// A code that this version does not know.
+    Unknown,
+}
+
+/// A store's load report: names of fields and values.
+pub type Report = Vec<(String, f64)>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub op: OpId,
+    /// Which of the op's dispatches, from 0.
+    pub dispatch: u32,
+    pub store: StoreId,
+    pub outcome: Outcome,
+    pub latency: Duration,
+    /// The op has ended, by this answer or before.
+    pub ended: bool,
+    /// The volume's service everywhere in a finished period, as a ratio to its plan's rate.
+    pub used: Option<f64>,
+    /// Units that the store's shard served for the volume through other gateways since its last answer here.
+    pub elsewhere: f64,
+    pub report: Report,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Start {
+        seed: u64,
+        settings: Settings,
+    },
+    List(ListNews),
+    Arrived(Op),
+    /// The answer of a streamed op type has begun: the dispatch now belongs to the client.
+    StreamBegan {
+        op: OpId,
+    },
+    Answered(Answer),
+    ClientLeft {
+        op: OpId,
+    },
+    Timer {
+        token: u64,
+    },
+    Probed {
+        store: StoreId,
+        outcome: Outcome,
+        report: Report,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Dispatch {
+        op: OpId,
+        store: StoreId,
+        timeout: Duration,
+    },
+    /// Final: trying again does no harm; the client is told how long to keep away.
+    Throttle {
+        op: OpId,
+        retry_after: Duration,
+    },
+    /// Final: promises nothing.
+    Abort {
+        op: OpId,
+    },
+    Cancel {
+        op: OpId,
+        dispatch: u32,
+    },
+    Timer {
+        token: u64,
+        at: Duration,
+    },
+    Subscribe,
+    FetchList,
+    Probe {
+        store: StoreId,
+    },
+    Log(String),
+    /// The module cannot run; the text says why.
+    Fatal(String),
+}
