--- a/src/choice.rs
+++ b/src/choice.rs
@@ -721,6 +721,7 @@
 
     fn answered(&mut self, answer: &Answer) {
         let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
+        let mean_weight = self.plans.iter().map(|plan| plan.weight).sum::<f64>() / self.plans.len() as f64;
         let Some(taken) = self.ops.get_mut(&answer.op) else {
             return;
         };
@@ -778,7 +779,7 @@
                 if store.latency > goal {
                     store.cap *= 1.0 - STEP;
                 } else if full {
-                    store.cap *= 1.0 + STEP;
+                    store.cap += STEP * mean * self.plans[plan].weight / mean_weight;
                 }
                 store.cap = store.cap.clamp(mean, MOST_CAP * mean);
             }
