--- a/src/choice.rs
+++ b/src/choice.rs
@@ -628,6 +628,7 @@
                 && self.may_resend(taken, store)
                 && (taken.dispatches.is_empty() || self.budget_left())
                 && self.now < taken.end_at
+                && self.leaves_room(place, taken)
                 && (late || !self.late(taken, place))
         };
         let mut able: Vec<OpId> =
@@ -641,6 +642,14 @@
         able.into_iter().find(|id| !self.ops[id].dispatches.is_empty() || self.limit_left(*id))
     }
 
+    /// Departure: an op of less utility goes only into as much of the cap as its utility is of the best, so that
+    /// under load the rest stays free for ops worth more.
+    fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
+        let best = self.op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+        let part = self.op_types[taken.op.op_type].utility / best;
+        part >= 1.0 || store.out.is_empty() || store.units_out() + taken.op.units <= store.cap * part
+    }
+
     /// The next op to send to a store, if one may go now.
     fn next(&mut self, id: StoreId) -> Option<OpId> {
         let store = &self.stores[&id];
