Keep to the older, warm store while two hold a shard

Cause: in a release the successor is listed cold seconds before the old store drains, and took all ops of the shard. Told from overload by the list changes (2 ready, then 2 draining) at the start of each fall in service.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,6 @@
 //! of time, the next turn goes to the smallest tag, and a cap bounds the units out. What departs from it is
 //! marked "Departure" beside the code and explained in docs/design.md.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -471,35 +470,31 @@
         }
     }
 
-    /// The store that holds the op's shard; for a new object the volume's ranking decides.
+    /// The first store in rank that has not enough, among those of the op's shard, or all for a new object. A new
+    /// object's ranking is the volume's, by hashing; of two stores with one shard the older, warm one is first.
     fn home(&self, taken: &Taken) -> Option<StoreId> {
-        if let Some(shard) = taken.op.shard {
-            let of_shard = self.stores.iter().filter(|(_, store)| store.listing.shard == shard);
-            return of_shard.max_by_key(|(_, s)| (s.ready(), s.listing.started)).map(|(id, _)| *id);
-        }
+        let of_shard = |store: &Store| taken.op.shard.is_none_or(|shard| store.listing.shard == shard);
         let rank = |store: &Store| {
             let mut hasher = DefaultHasher::new();
             (taken.op.volume_name, store.listing.shard).hash(&mut hasher);
-            hasher.finish()
+            (store.listing.started.filter(|_| taken.op.shard.is_some()), hasher.finish())
         };
-        let tried = |id: &StoreId| taken.dispatches.iter().any(|d| d.store == *id);
-        let load = |store: &Store| {
+        let rounds = |store: &Store| {
+            if store.doubt.is_some() || self.cold_room(store) < taken.op.units {
+                return u64::MAX;
+            }
             let held: usize = store.volumes.values().map(|share| share.held.len()).sum();
-            (store.units_out() + held as f64 * self.mean_units) / store.cap
+            let load = (store.units_out() + held as f64 * self.mean_units) / store.cap;
+            // With a cap out and held it has enough; if all have, the least laden takes it.
+            if load < 1.0 { 0 } else { (load / QUANTUM) as u64 }
         };
-        let fit = |id: &StoreId, store: &Store| {
-            store.ready() && store.doubt.is_none() && self.cold_room(store) >= taken.op.units && !tried(id)
-        };
-        let ranked = self.stores.iter().filter(|(_, store)| store.ready());
-        ranked
-            .filter(|(id, _)| self.may_resend(taken, **id))
-            .min_by_key(|(id, store)| {
-                // A store with its cap out and held has enough; if all have, the least laden takes it.
-                let load = if fit(id, store) { load(store) } else { f64::from(u32::MAX) };
-                let rounds = if load < 1.0 { 0 } else { (load * 4.0) as u64 };
-                (rounds, Reverse(rank(store)))
-            })
-            .map(|(id, _)| *id)
+        let stores = || self.stores.iter().filter(|(_, store)| of_shard(store));
+        let ready = stores().filter(|(id, store)| store.ready() && self.may_resend(taken, **id));
+        let best = ready.min_by_key(|(_, store)| (rounds(store), rank(store)));
+        // With none ready, an op on existing data waits for a successor.
+        let waiting =
+            || stores().max_by_key(|(_, store)| store.listing.started).filter(|_| taken.op.shard.is_some());
+        best.or_else(waiting).map(|(id, _)| *id)
     }
 
     /// Rule 2: no effect twice, and no two dispatches at once where they are not allowed.
