--- a/src/choice.rs
+++ b/src/choice.rs
@@ -893,13 +893,11 @@
         if silent {
             Self::put_in_doubt(store, now, shortest);
         }
-        // New objects need not wait for a store in doubt.
+        // Another store may do: any for a new object, a successor for a shard. A drain not yet told looks like doubt.
         let held: Vec<OpId> = store.volumes.values().flat_map(|share| share.held.iter().copied()).collect();
         if store.doubt.is_some() || !store.ready() {
             for op in &held {
-                if self.ops[op].op.shard.is_none() {
-                    self.hold(*op);
-                }
+                self.hold(*op);
             }
         }
         // A late op that could not go at once is given up at the next look, so that its client may ask again:
