--- a/src/choice.rs
+++ b/src/choice.rs
@@ -742,6 +742,8 @@
         dispatch.fate = fate;
         let place = dispatch.store;
         let (volume, key, plan) = (taken.op.volume, taken.op.key, taken.op.plan);
+        // Departure: a heavy op's answer counts as an average op's, or one large op would shrink the next counts.
+        let latency = answer.latency.as_secs_f64() / (taken.op.units / mean).max(1.0);
         let unknown = matches!(
             answer.outcome,
             Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::Unknown
@@ -757,7 +759,7 @@
                 // Service that the store gave the volume through other gateways counts like service from here.
                 share.tag += answer.elsewhere / self.plans[plan].weight.max(f64::MIN_POSITIVE);
                 if answer.outcome == Outcome::Acked {
-                    share.latency += SMOOTHING * (answer.latency.as_secs_f64() - share.latency);
+                    share.latency += SMOOTHING * (latency - share.latency);
                 }
             }
             match answer.outcome {
@@ -777,7 +779,7 @@
             }
             if answer.outcome == Outcome::Acked {
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
-                store.latency += SMOOTHING * (answer.latency.as_secs_f64() - store.latency);
+                store.latency += SMOOTHING * (latency - store.latency);
                 let (goal, full) =
                     (store.shortest.as_secs_f64() * STEER, store.units_out() + 2.0 * mean > store.cap);
                 if store.latency > goal {
