--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,7 +54,8 @@
 
 struct OpType {
     target: Duration,
-    timeout: Duration,
+    /// The longest time that a client of such an op still waited on its arrival here.
+    longest_left: Duration,
     utility: f64,
     repeats: Repeats,
     scope: Scope,
@@ -239,7 +240,7 @@
             let name = |field: &str| format!("op_types.{i}.{field}");
             op_types.push(OpType {
                 target: span(s, &name("target_latency"))?,
-                timeout: span(s, &name("op_timeout"))?,
+                longest_left: Duration::ZERO,
                 utility: number(s, &name("utility"))?,
                 repeats: match word(&name("repeats")) {
                     Some("replayable") => Repeats::Replayable,
@@ -404,15 +405,16 @@
     // Ops coming in and going out.
 
     fn arrived(&mut self, op: Op) {
-        let (Some(op_type), Some(_)) = (self.op_types.get(op.op_type), self.plans.get(op.plan)) else {
+        // The final answer must be in before the client's own time is up; a sweep may come this much late.
+        let margin = self.shortest.mul_f64(SWEEP) + 3 * self.setting_span("tick");
+        let (Some(op_type), Some(_)) = (self.op_types.get_mut(op.op_type), self.plans.get(op.plan)) else {
             self.actions.push(Action::Abort { op: op.id });
             return;
         };
         self.taken.push_back(self.now);
-        // The final answer must be in before the client's own time is up; a sweep may come this much late.
-        let margin = self.shortest.mul_f64(SWEEP) + 3 * self.setting_span("tick");
-        // What a client has waited through earlier tries shows in the time it has left.
-        let waited = op_type.timeout.saturating_sub(op.left);
+        // What a client has waited through earlier tries shows against the longest time one of this type came with.
+        op_type.longest_left = op_type.longest_left.max(op.left);
+        let waited = op_type.longest_left.saturating_sub(op.left);
         let taken = Taken {
             target_at: self.now + op_type.target.saturating_sub(waited),
             end_at: self.now + op.left.saturating_sub(margin),
