Let volumes past what their plan entitles them to use only a part of the cap

A volume's rate (sent here, told as served elsewhere) against its due needs no other gateway. It should also answer hot keys, scans and one plan's surge. It may harm where rates in the plans are wrong.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,8 @@
 /// Silence that puts a store in doubt, against the shortest target latency and the store's average latency.
 const SILENCE: f64 = 0.5;
 const SILENCE_ANSWERS: f64 = 4.0;
+/// What a volume may have beyond its reserve, against the plans' mean rate beyond reserves for its weight.
+const FAIR: f64 = 1.0;
 /// The share of a cold store's bearable units that all gateways together use; the rest covers handshakes.
 const COLD_SHARE: f64 = 0.8;
 /// A volume idle at a store for so long is dropped.
@@ -67,6 +69,8 @@
     weight: f64,
     limit: f64,
     limit_burst: f64,
+    rate: f64,
+    reserve: f64,
 }
 
 /// What became of one dispatch.
@@ -150,6 +154,10 @@
     fn holds_any(&self) -> bool {
         self.volumes.values().any(|share| !share.held.is_empty())
     }
+    /// The answer latency that the cap steers for.
+    fn goal(&self) -> f64 {
+        self.shortest.as_secs_f64() * STEER
+    }
     /// The store's latency as far as an op with this target latency is concerned. Half the target latency at
     /// most: a slow spell must not make every fresh op late on arrival, or nothing would show its end.
     fn expected(&self, target: Duration) -> Duration {
@@ -164,12 +172,28 @@
     rest_until: Duration,
 }
 
-/// This gateway's part of a volume's limit.
-struct Allowance {
-    units: f64,
+/// What this gateway knows of a volume at all stores together.
+struct Volume {
+    /// What is left of this gateway's part of the plan's limit.
+    allowance: f64,
+    /// Units a second lately sent from here or told as served elsewhere, and the whole as stores told it.
+    rate: f64,
+    told: f64,
     at: Duration,
 }
 
+impl Volume {
+    /// Brings the record to now: what is known fades within a second, the span that a plan's dues are counted in.
+    fn age(&mut self, now: Duration, plan: &Plan, gateways: f64) {
+        let past = now.saturating_sub(self.at).as_secs_f64();
+        let filled = self.allowance + plan.limit / gateways * past;
+        self.allowance = filled.min(plan.limit_burst / gateways);
+        self.rate *= (-past).exp();
+        self.told *= (-past).exp();
+        self.at = now;
+    }
+}
+
 #[derive(Default)]
 pub struct Gateway {
     running: Option<Running>,
@@ -212,7 +236,7 @@
     ops: BTreeMap<OpId, Taken>,
     stores: BTreeMap<StoreId, Store>,
     lines: BTreeMap<u64, Line>,
-    allowances: BTreeMap<VolumeId, Allowance>,
+    volumes: BTreeMap<VolumeId, Volume>,
     /// When ops were taken and further dispatches made, within the budget's span.
     taken: VecDeque<Duration>,
     further: VecDeque<Duration>,
@@ -264,6 +288,8 @@
                 weight: number(s, &name("weight"))?,
                 limit: number(s, &name("limit")).unwrap_or(0.0),
                 limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
+                rate: number(s, &name("rate")).unwrap_or(0.0),
+                reserve: number(s, &name("reserve")).unwrap_or(0.0),
             });
         }
         number(s, "gateways")?;
@@ -284,7 +310,7 @@
             ops: BTreeMap::new(),
             stores: BTreeMap::new(),
             lines: BTreeMap::new(),
-            allowances: BTreeMap::new(),
+            volumes: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
             list_failures: 0,
@@ -425,6 +451,9 @@
             op,
         };
         let id = taken.op.id;
+        let (plan, gateways) = (&self.plans[taken.op.plan], taken.op.gateways.max(1.0));
+        let volume = Volume { allowance: 0.0, rate: 0.0, told: 0.0, at: self.started };
+        self.volumes.entry(taken.op.volume).or_insert(volume).age(self.now, plan, gateways);
         if let Some(key) = taken.op.key.filter(|_| op_type.in_order) {
             self.lines.entry(key).or_default().ops.push_back(id);
         }
@@ -548,18 +577,8 @@
 
     /// Rule 7: this gateway's part of the volume's limit. It starts empty, since an earlier run of this gateway
     /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
-    fn limit_left(&mut self, id: OpId) -> bool {
-        let op = &self.ops[&id].op;
-        let plan = &self.plans[op.plan];
-        if plan.limit <= 0.0 {
-            return true;
-        }
-        let (rate, most) = (plan.limit / op.gateways.max(1.0), plan.limit_burst / op.gateways.max(1.0));
-        let (now, started) = (self.now, self.started);
-        let allowance = self.allowances.entry(op.volume).or_insert(Allowance { units: 0.0, at: started });
-        let filled = allowance.units + rate * now.saturating_sub(allowance.at).as_secs_f64();
-        *allowance = Allowance { units: filled.min(most), at: now };
-        allowance.units >= op.units
+    fn limit_left(&self, op: &Op) -> bool {
+        self.plans[op.plan].limit <= 0.0 || self.volumes[&op.volume].allowance >= op.units
     }
 
     /// Rule 4: units that this gateway may still send a cold store now. All gateways use an even part of what a
@@ -615,7 +634,7 @@
 
     /// The op of a volume that goes next: one that continues the run on a key, else the one of most utility,
     /// else the one taken first.
-    fn pick(&mut self, store: StoreId, volume: VolumeId, late: bool) -> Option<OpId> {
+    fn pick(&self, store: StoreId, volume: VolumeId, late: bool) -> Option<OpId> {
         let place = &self.stores[&store];
         let room = self.cold_room(place);
         let may_go = |id: &OpId| {
@@ -623,7 +642,7 @@
             taken.op.units <= room
                 && self.in_turn(taken)
                 && self.may_resend(taken, store)
-                && (taken.dispatches.is_empty() || self.budget_left())
+                && if taken.dispatches.is_empty() { self.limit_left(&taken.op) } else { self.budget_left() }
                 && self.now < taken.end_at
                 && self.leaves_room(place, taken)
                 && (late || !self.late(taken, place))
@@ -636,15 +655,23 @@
             let utility = |op: &Op| self.op_types[op.op_type].utility;
             run(b).cmp(&run(a)).then(utility(b).total_cmp(&utility(a))).then(a.id.cmp(&b.id))
         });
-        able.into_iter().find(|id| !self.ops[id].dispatches.is_empty() || self.limit_left(*id))
+        able.into_iter().next()
     }
 
-    /// Departure: an op of less utility goes only into as much of the cap as its utility is of the best, so that
-    /// under load the rest stays free for ops worth more.
+    /// Departure: under load a part of the cap stays free. An op of less utility, or of a volume past what its
+    /// plan entitles it to, goes only into as much of the cap as its utility is of the best and as its volume's
+    /// due is of its rate. Gateways that cannot see each other's volumes so yield to those with more due.
     fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
         let best = self.op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        let part = self.op_types[taken.op.op_type].utility / best;
-        part >= 1.0 || store.out.is_empty() || store.units_out() + taken.op.units <= store.cap * part
+        let spare =
+            self.plans.iter().map(|p| (p.rate - p.reserve) / p.weight).sum::<f64>() / self.plans.len() as f64;
+        let plan = &self.plans[taken.op.plan];
+        let volume = &self.volumes[&taken.op.volume];
+        let due = plan.reserve + plan.weight * spare * FAIR;
+        let part =
+            self.op_types[taken.op.op_type].utility / best * (due / volume.rate.max(volume.told)).min(1.0);
+        let calm = store.latency <= store.goal() * (1.0 + part);
+        store.out.is_empty() && calm || store.units_out() + taken.op.units <= store.cap * part
     }
 
     /// The next op to send to a store, if one may go now.
@@ -696,8 +723,9 @@
         taken.held_at = None;
         if !taken.dispatches.is_empty() {
             self.further.push_back(self.now);
-        } else if let Some(allowance) = self.allowances.get_mut(&op.volume) {
-            allowance.units -= op.units;
+        } else if let Some(volume) = self.volumes.get_mut(&op.volume) {
+            volume.allowance -= op.units;
+            volume.rate += op.units;
         }
         let number = taken.dispatches.len() as u32;
         taken.dispatches.push(Dispatch { store: to, at: self.now, fate: Fate::Out });
@@ -753,6 +781,10 @@
         if let Some(line) = key.filter(|_| unknown).and_then(|key| self.lines.get_mut(&key)) {
             line.rest_until = now + span(&self.settings, "rules.order_pause").unwrap_or_default();
         }
+        if let Some(known) = self.volumes.get_mut(&volume) {
+            known.rate += answer.elsewhere;
+            known.told = answer.used.map_or(known.told, |used| known.told.max(used * self.plans[plan].rate));
+        }
         if let Some(store) = self.stores.get_mut(&place) {
             store.out.remove(&(answer.op, answer.dispatch));
             if let Some(share) = store.volumes.get_mut(&volume) {
@@ -782,8 +814,7 @@
             if answer.outcome == Outcome::Acked {
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
                 store.latency += SMOOTHING * (latency - store.latency);
-                let (goal, full) =
-                    (store.shortest.as_secs_f64() * STEER, store.units_out() + 2.0 * mean > store.cap);
+                let (goal, full) = (store.goal(), store.units_out() + 2.0 * mean > store.cap);
                 if store.latency > goal {
                     store.cap *= 1.0 - STEP;
                 } else if full {
