--- /dev/null
+++ b/crates/adapter/tests/wire.rs
@@ -0,0 +1,86 @@
+//! Frames in and out, and what is said of malformed ones.
+
+use std::time::Duration;
+
+use umbertray_adapter::codec::{self, Item, Malformed, Record, Reply};
+use umbertray_adapter::{names, serve};
+
+fn frame(records: &[Vec<u8>], count: u32, tail: &[u8]) -> Vec<u8> {
+    let mut body = count.to_le_bytes().to_vec();
+    body.extend(2.5f64.to_le_bytes());
+    for record in records {
+        let mut record = record.clone();
+        record.resize(codec::EVENT_BYTES, 0);
+        body.extend(record);
+    }
+    body.extend(tail);
+    [&(body.len() as u32).to_le_bytes()[..], &body].concat()
+}
+
+fn open_instance(settings: &str) -> Vec<u8> {
+    [&[1u8, 3, 0][..], &7u64.to_le_bytes(), &0u32.to_le_bytes(), &(settings.len() as u32).to_le_bytes()]
+        .concat()
+}
+
+fn complaint(input: &[u8]) -> String {
+    let Err(Malformed(what)) = serve(input, Vec::new()) else { panic!("accepted") };
+    what
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply_and_the_end_is_clean() {
+    let mut output = Vec::new();
+    assert_eq!(serve(&frame(&[], 0, &[])[..], &mut output), Ok(()));
+    assert_eq!(output, [4, 0, 0, 0, 0, 0, 0, 0]);
+    assert_eq!(serve(&[][..], Vec::new()), Ok(()));
+}
+
+#[test]
+fn malformed_frames_are_named() {
+    assert!(complaint(&[1, 2]).contains("inside the length field"));
+    assert!(complaint(&[200, 0, 0, 0, 1]).contains("after 1 of 200 bytes"));
+    assert!(complaint(&[2, 0, 0, 0, 1, 1]).contains("shorter than its header"));
+    assert!(complaint(&frame(&[], 9, &[])).contains("9 records do not fit"));
+    assert!(complaint(&frame(&[vec![99]], 1, &[])).contains("record 0: unknown event code 99"));
+    assert!(complaint(&frame(&[open_instance("x=1")], 1, &[])).contains("outside the tail"));
+    let registry = [&[2u8, 3, 0, 2][..], &[0; 8], &5u32.to_le_bytes()].concat();
+    let start = open_instance("");
+    assert!(complaint(&frame(&[start, registry], 2, &[])).contains("no sheet numbered 5"));
+}
+
+#[test]
+fn a_missing_setting_is_fatal_by_name() {
+    let text = "tickS=0.002";
+    let mut output = Vec::new();
+    assert_eq!(serve(&frame(&[open_instance(text)], 1, text.as_bytes())[..], &mut output), Ok(()));
+    assert_eq!(output[8..11], [9, 3, 0]);
+    assert!(String::from_utf8_lossy(&output).contains("op_types.count is missing"));
+}
+
+#[test]
+fn settings_take_our_words() {
+    let settings = names::settings(
+        "profiles.0.promiseS=0.3\nprofiles.0.effect=single_shot\nbad line\ndiscovery=subscribe",
+    );
+    let pairs: Vec<_> = settings.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
+    let ours =
+        [("discovery", "asked"), ("op_types.0.repeats", "once_only"), ("op_types.0.target_latency", "0.3")];
+    assert_eq!(pairs, ours);
+}
+
+#[test]
+fn records_read_back_as_written() {
+    let mut record = vec![6u8, 5, 0];
+    record.extend(77u64.to_le_bytes());
+    let batch = codec::read_batch(&frame(&[record], 1, &[])[4..]).expect("well formed");
+    assert_eq!(batch.now, 2.5);
+    assert_eq!(batch.items, [Item::For { instance: 5, record: Record::ClientLeft { tid: 77 } }]);
+    let mut reply = Reply::default();
+    reply.place(3, 77, [10, 18, 74, 7, 43, 35], Duration::from_millis(1250));
+    reply.emit(3, "two");
+    let bytes = reply.frame();
+    assert_eq!(bytes.len(), 8 + 2 * codec::ACTION_BYTES + 3);
+    assert_eq!(bytes[8..25], [4, 3, 0, 77, 0, 0, 0, 0, 0, 0, 0, 10, 18, 74, 7, 43, 35]);
+    assert_eq!(bytes[25..33], 1.25f64.to_le_bytes());
+    assert_eq!(bytes[8 + 2 * codec::ACTION_BYTES..], *b"two");
+}
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,198 @@
+//! The rules on generated days beside the plain model, and a small test for each failure found.
+
+mod world;
+
+use quickcheck::{Gen, QuickCheck};
+use umbertray::choice::Gateway;
+use umbertray::interface::*;
+use world::{World, listing, ms, op, settings};
+
+const START: u64 = 1_000_000;
+
+fn at(millis: u64) -> std::time::Duration {
+    ms(START + millis)
+}
+
+fn one_store() -> World {
+    World::new(at(0), vec![listing(0, 0, None, StoreState::Ready)])
+}
+
+/// Plays a day drawn by the bytes; the world panics where an action breaks a rule.
+fn day(steps: &[u16]) -> World {
+    let mut list: Vec<Listing> = (0..3).map(|i| listing(i, i, None, StoreState::Ready)).collect();
+    let mut world = World::new(at(0), list.clone());
+    let outcomes = [
+        Outcome::Acked,
+        Outcome::Acked,
+        Outcome::Acked,
+        Outcome::Error,
+        Outcome::Full,
+        Outcome::TimedOut,
+        Outcome::ConnectFailed,
+        Outcome::Reset,
+        Outcome::Cancelled,
+        Outcome::Moot,
+        Outcome::Unknown,
+    ];
+    for (i, step) in steps.iter().enumerate() {
+        let bits = usize::from(*step);
+        let (side, which) = (bits % 2, bits / 2 % 3);
+        match bits / 8 % 16 {
+            0..7 => {
+                let mut op = op(i as u32, (bits / 128 % 4) as u32, bits / 512 % 4);
+                op.plan = bits / 128 % 2;
+                op.gateways = 2.0;
+                op.units = (1 + bits / 2048 % 6) as f64;
+                op.shard = (bits / 8192 > 1).then_some(which as u32);
+                op.key = Some(1 + (bits / 4096 % 2) as u64);
+                op.left = ms([1000, 400, 30, 1000][bits / 16384]);
+                world.arrive(side, op);
+            }
+            7..13 => {
+                let out = world.out(side);
+                if let Some((id, n, _)) = out.get(bits / 128 % out.len().max(1)) {
+                    world.answer(side, *id, *n, outcomes[bits / 2048 % outcomes.len()]);
+                }
+            }
+            13 => {
+                let state = [StoreState::Draining, StoreState::Gone, StoreState::Ready, StoreState::Ready]
+                    [bits / 128 % 4];
+                list[which].started =
+                    if state == StoreState::Ready { Some(world.now) } else { list[which].started };
+                list[which].state = state;
+                world.relist(list.clone());
+            }
+            14 if bits / 128 % 4 == 0 => world.restart(side),
+            14 => world
+                .tell(side, vec![Event::List(ListNews::Failed), Event::ClientLeft { op: OpId(u32::MAX) }]),
+            _ => world.pass(ms((bits / 128 % 64) as u64)),
+        }
+        world.pass(ms((bits / 4096) as u64));
+    }
+    world.pass(ms(1100));
+    world
+}
+
+#[test]
+fn generated_days_keep_the_rules() {
+    fn keeps(steps: Vec<u16>) -> bool {
+        let actions = |world: World| world.sides.into_iter().map(|side| side.actions).collect::<Vec<_>>();
+        actions(day(&steps)) == actions(day(&steps))
+    }
+    QuickCheck::new().rng(Gen::new(600)).tests(60).quickcheck(keeps as fn(Vec<u16>) -> bool);
+}
+
+#[test]
+fn a_missing_setting_is_named() {
+    let mut lacking = settings();
+    lacking.remove("rules.fall_time");
+    let actions = Gateway::default().handle(at(0), vec![Event::Start { seed: 1, settings: lacking }]);
+    assert!(matches!(&actions[..], [Action::Fatal(text)] if text.contains("rules.fall_time")));
+}
+
+#[test]
+fn an_op_with_no_time_left_is_answered_on_arrival() {
+    let mut world = one_store();
+    world.arrive(0, Op { left: ms(5), ..op(1, 1, 0) });
+    assert!(world.sides[0].ops[&OpId(1)].ended);
+}
+
+#[test]
+fn a_late_op_is_given_up_at_once_and_not_kept() {
+    let mut world = one_store();
+    (0..30).for_each(|id| world.arrive(0, op(id, 1, 0)));
+    world.pass(ms(250));
+    let ops = &world.sides[0].ops;
+    assert!(ops.values().all(|seen| seen.ended != seen.sent.iter().any(|s| s.outcome.is_none())));
+    assert!(ops.values().any(|seen| seen.ended));
+}
+
+#[test]
+fn a_clients_earlier_wait_counts_against_the_longest_seen() {
+    let mut world = one_store();
+    (0..4).for_each(|id| world.arrive(0, Op { left: ms(500), ..op(id, 1, 0) }));
+    world.arrive(0, Op { left: ms(500), ..op(9, 2, 0) });
+    world.arrive(0, Op { left: ms(250), ..op(10, 2, 0) });
+    world.pass(ms(40));
+    assert!(!world.sides[0].ops[&OpId(9)].ended, "a try with a part of the op timeout is not late");
+    assert!(world.sides[0].ops[&OpId(10)].ended, "a repeat past its target latency is");
+}
+
+#[test]
+fn turns_go_to_the_smallest_tag_by_weight() {
+    let mut world = one_store();
+    (0..40).for_each(|id| world.arrive(0, Op { plan: 0, ..op(id, 1, 0) }));
+    let full = world.sent_to(0, 0).len();
+    (40..48).for_each(|id| world.arrive(0, Op { ..op(id, 2, 0) }));
+    for n in 0..full {
+        world.pass(ms(5));
+        let id = world.sent_to(0, 0)[n];
+        world.answer(0, id, 0, Outcome::Acked);
+    }
+    let next = world.sent_to(0, 0)[full..].first().copied();
+    assert!(next.is_some_and(|id| id.0 >= 40), "the volume served least goes next, not {next:?}");
+}
+
+#[test]
+fn the_cap_bounds_units_out() {
+    let mut world = one_store();
+    (0..40).for_each(|id| world.arrive(0, op(id, id, 0)));
+    assert_eq!(world.sent_to(0, 0).len(), 4, "four average ops at first");
+}
+
+#[test]
+fn an_op_of_less_utility_leaves_room() {
+    let mut world = one_store();
+    world.arrive(0, op(0, 1, 0));
+    world.arrive(0, op(1, 1, 0));
+    world.arrive(0, op(2, 2, 3));
+    assert_eq!(world.sent_to(0, 0), [OpId(0), OpId(1)]);
+    world.arrive(0, op(3, 3, 0));
+    assert_eq!(world.sent_to(0, 0), [OpId(0), OpId(1), OpId(3)]);
+}
+
+#[test]
+fn a_volume_past_its_due_leaves_room() {
+    let mut world = one_store();
+    for id in 0..20 {
+        world.arrive(0, op(id, 1, 0));
+        world.answer(0, OpId(id), 0, Outcome::Acked);
+    }
+    (20..24).for_each(|id| world.arrive(0, op(id, 1, 0)));
+    (24..26).for_each(|id| world.arrive(0, op(id, 2, 0)));
+    assert_eq!(world.sent_to(0, 0)[20..], [OpId(20), OpId(24), OpId(25)]);
+}
+
+#[test]
+fn a_warm_store_is_kept_to_while_its_successor_is_cold() {
+    let mut world = one_store();
+    let mut list =
+        vec![listing(0, 0, None, StoreState::Ready), listing(1, 0, Some(at(0)), StoreState::Ready)];
+    world.relist(list.clone());
+    world.pass(ms(2000));
+    world.arrive(0, op(0, 1, 0));
+    assert_eq!(world.sent_to(0, 0), [OpId(0)]);
+    list[0].state = StoreState::Draining;
+    world.relist(list);
+    world.arrive(0, op(1, 1, 0));
+    assert_eq!(world.sent_to(0, 1), [OpId(1)]);
+}
+
+#[test]
+fn a_silent_store_does_not_freeze_the_rotation() {
+    let mut world = one_store();
+    (0..4).for_each(|id| world.arrive(0, op(id, 1, 0)));
+    world.pass(ms(400));
+    world.answer(0, OpId(0), 0, Outcome::Acked);
+    world.arrive(0, op(9, 2, 0));
+    assert!(world.sent_to(0, 0).contains(&OpId(9)));
+}
+
+#[test]
+fn a_new_object_goes_to_the_same_store_from_every_gateway() {
+    let list = (0..5).map(|i| listing(i, i, None, StoreState::Ready)).collect();
+    let mut world = World::new(at(0), list);
+    (0..2).for_each(|side| world.arrive(side, Op { shard: None, ..op(0, 7, 0) }));
+    let home = |side: usize| world.sides[side].ops[&OpId(0)].sent[0].store;
+    assert_eq!(home(0), home(1));
+}
