--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,8 +33,6 @@
 /// Silence that puts a store in doubt, against the shortest target latency and the store's average latency.
 const SILENCE: f64 = 0.5;
 const SILENCE_ANSWERS: f64 = 4.0;
-/// What a volume may have beyond its reserve, against the plans' mean rate beyond reserves for its weight.
-const FAIR: f64 = 1.0;
 /// The share of a cold store's bearable units that all gateways together use; the rest covers handshakes.
 const COLD_SHARE: f64 = 0.8;
 /// A volume idle at a store for so long is dropped.
@@ -58,6 +56,7 @@
     target: Duration,
     /// The longest time that a client of such an op still waited on its arrival here.
     longest_left: Duration,
+    /// Against the best op type's.
     utility: f64,
     repeats: Repeats,
     scope: Scope,
@@ -66,11 +65,14 @@
 }
 
 struct Plan {
+    /// Against the plans' mean.
     weight: f64,
     limit: f64,
     limit_burst: f64,
     rate: f64,
-    reserve: f64,
+    /// Units a second that a volume may have before it yields: its reserve, and by weight as much beyond it as
+    /// the plans' volumes are sized for in the mean.
+    due: f64,
 }
 
 /// What became of one dispatch.
@@ -113,6 +115,12 @@
     seen: Duration,
 }
 
+impl Share {
+    fn active(&self) -> bool {
+        !self.held.is_empty() || self.out > 0
+    }
+}
+
 struct Turn {
     volume: VolumeId,
     count: f64,
@@ -121,7 +129,6 @@
 
 /// A store that may not answer: ops go one at a time, at growing intervals, until one is answered.
 struct Doubt {
-    since: Duration,
     trial_at: Duration,
     wait: Duration,
 }
@@ -285,13 +292,20 @@
         for i in 0..number(s, "plans.count")? as usize {
             let name = |field: &str| format!("plans.{i}.{field}");
             plans.push(Plan {
-                weight: number(s, &name("weight"))?,
+                weight: number(s, &name("weight"))?.max(f64::MIN_POSITIVE),
                 limit: number(s, &name("limit")).unwrap_or(0.0),
                 limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
                 rate: number(s, &name("rate")).unwrap_or(0.0),
-                reserve: number(s, &name("reserve")).unwrap_or(0.0),
+                due: number(s, &name("reserve")).unwrap_or(0.0),
             });
         }
+        let best = op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+        op_types.iter_mut().for_each(|op_type| op_type.utility /= best);
+        let mean_weight = plans.iter().map(|plan| plan.weight).sum::<f64>() / plans.len() as f64;
+        plans.iter_mut().for_each(|plan| plan.weight /= mean_weight);
+        let spare =
+            plans.iter().map(|plan| (plan.rate - plan.due) / plan.weight).sum::<f64>() / plans.len() as f64;
+        plans.iter_mut().for_each(|plan| plan.due += plan.weight * spare);
         number(s, "gateways")?;
         for name in ["tick", "rules.cold_time", "rules.fall_time"] {
             span(s, name)?;
@@ -332,6 +346,10 @@
         span(&self.settings, name).unwrap_or_default()
     }
 
+    fn op_type(&self, taken: &Taken) -> &OpType {
+        &self.op_types[taken.op.op_type]
+    }
+
     /// Between 0 and 1, the same for the same seed and count of draws.
     fn chance(&mut self) -> f64 {
         self.draws += 1;
@@ -399,16 +417,12 @@
         };
         let back = news && listing.state == StoreState::Ready && listing.started.is_some();
         // A store just back meets all gateways at once; a random wait spreads their first ops.
-        let open_at = if back {
-            self.now + self.setting_span("rules.fall_time").mul_f64(self.chance())
-        } else {
-            self.now
-        };
+        let open_at = self.now + self.setting_span("rules.fall_time").mul_f64(self.chance());
         let (cap, shortest) = (FIRST_CAP * self.mean_units, self.shortest);
         let store = self.stores.entry(listing.store).or_insert_with(|| Store {
             listing: listing.clone(),
             cold_since: None,
-            open_at,
+            open_at: self.now,
             spent: VecDeque::new(),
             out: BTreeMap::new(),
             volumes: BTreeMap::new(),
@@ -477,21 +491,15 @@
         let Some(to) = to else { return self.settle(id) };
         self.ops.get_mut(&id).expect("a held op is known").held_at = Some(to);
         let store = self.stores.get_mut(&to).expect("a home is known");
-        let active = store.volumes.values().filter(|share| !share.held.is_empty() || share.out > 0);
-        let floor = active.map(|share| share.tag).fold(f64::INFINITY, f64::min);
-        let floor = if floor.is_finite() { floor } else { 0.0 };
-        let now = self.now;
-        let share = store.volumes.entry(volume).or_insert_with(|| Share {
-            held: Vec::new(),
-            out: 0,
-            tag: floor,
-            latency: target.as_secs_f64() * SEED,
-            seen: now,
-        });
-        if share.held.is_empty() && share.out == 0 {
+        let active = store.volumes.values().filter(|share| share.active()).map(|share| share.tag);
+        let floor = active.min_by(f64::total_cmp).unwrap_or(0.0);
+        let (latency, seen) = (target.as_secs_f64() * SEED, self.now);
+        let newcomer = Share { held: Vec::new(), out: 0, tag: floor, latency, seen };
+        let share = store.volumes.entry(volume).or_insert(newcomer);
+        if !share.active() {
             share.tag = share.tag.max(floor);
         }
-        share.seen = now;
+        share.seen = self.now;
         share.held.push(id);
     }
 
@@ -530,7 +538,7 @@
 
     /// Rule 2: no effect twice, and no two dispatches at once where they are not allowed.
     fn may_resend(&self, taken: &Taken, to: StoreId) -> bool {
-        let op_type = &self.op_types[taken.op.op_type];
+        let op_type = self.op_type(taken);
         if taken.dispatches.iter().any(|d| d.fate == Fate::Out) {
             return false;
         }
@@ -558,9 +566,7 @@
     /// Further dispatches go by utility: all that are allowed for the op type worth most, fewer for others.
     fn dispatches_left(&self, taken: &Taken) -> bool {
         let most = self.setting("limits.max_dispatches", 1.0).max(1.0);
-        let best = self.op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        let worth = self.op_types[taken.op.op_type].utility / best;
-        (taken.dispatches.len() as f64) < 1.0 + ((most - 1.0) * worth).round()
+        (taken.dispatches.len() as f64) < 1.0 + ((most - 1.0) * self.op_type(taken).utility).round()
     }
 
     /// Rule 6: the budget of further dispatches within its span.
@@ -609,7 +615,7 @@
         let Some(line) = taken.op.key.and_then(|key| self.lines.get(&key)) else {
             return true;
         };
-        if !self.op_types[taken.op.op_type].in_order {
+        if !self.op_type(taken).in_order {
             return true;
         }
         let rested = self.now >= line.rest_until || !taken.dispatches.is_empty();
@@ -617,7 +623,7 @@
     }
 
     fn late(&self, taken: &Taken, store: &Store) -> bool {
-        self.now + store.expected(self.op_types[taken.op.op_type].target) > taken.target_at
+        self.now + store.expected(self.op_type(taken).target) > taken.target_at
     }
 
     // Turns.
@@ -647,29 +653,23 @@
                 && self.leaves_room(place, taken)
                 && (late || !self.late(taken, place))
         };
-        let mut able: Vec<OpId> =
-            place.volumes.get(&volume)?.held.iter().filter(|id| may_go(id)).copied().collect();
-        able.sort_by(|a, b| {
-            let (a, b) = (&self.ops[a].op, &self.ops[b].op);
-            let run = |op: &Op| op.key.is_some() && op.key == place.last_key;
-            let utility = |op: &Op| self.op_types[op.op_type].utility;
-            run(b).cmp(&run(a)).then(utility(b).total_cmp(&utility(a))).then(a.id.cmp(&b.id))
+        let able = place.volumes.get(&volume)?.held.iter().filter(|id| may_go(id));
+        let best = able.min_by(|a, b| {
+            let (a, b) = (&self.ops[a], &self.ops[b]);
+            let run = |taken: &Taken| taken.op.key.is_some() && taken.op.key == place.last_key;
+            let utility = self.op_type(b).utility.total_cmp(&self.op_type(a).utility);
+            run(b).cmp(&run(a)).then(utility).then(a.op.id.cmp(&b.op.id))
         });
-        able.into_iter().next()
+        best.copied()
     }
 
     /// Departure: under load a part of the cap stays free. An op of less utility, or of a volume past what its
     /// plan entitles it to, goes only into as much of the cap as its utility is of the best and as its volume's
     /// due is of its rate. Gateways that cannot see each other's volumes so yield to those with more due.
     fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
-        let best = self.op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        let spare =
-            self.plans.iter().map(|p| (p.rate - p.reserve) / p.weight).sum::<f64>() / self.plans.len() as f64;
-        let plan = &self.plans[taken.op.plan];
         let volume = &self.volumes[&taken.op.volume];
-        let due = plan.reserve + plan.weight * spare * FAIR;
-        let part =
-            self.op_types[taken.op.op_type].utility / best * (due / volume.rate.max(volume.told)).min(1.0);
+        let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
+        let part = self.op_type(taken).utility * due;
         let calm = store.latency <= store.goal() * (1.0 + part);
         store.out.is_empty() && calm || store.units_out() + taken.op.units <= store.cap * part
     }
@@ -744,7 +744,7 @@
         let share = store.volumes.get_mut(&op.volume).expect("a picked volume is known");
         share.out += 1;
         share.seen = self.now;
-        share.tag += op.units / weight.max(f64::MIN_POSITIVE);
+        share.tag += op.units / weight;
         if let Some(turn) = &mut store.turn {
             turn.count -= 1.0;
         }
@@ -755,7 +755,6 @@
 
     fn answered(&mut self, answer: &Answer) {
         let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
-        let mean_weight = self.plans.iter().map(|plan| plan.weight).sum::<f64>() / self.plans.len() as f64;
         let Some(taken) = self.ops.get_mut(&answer.op) else {
             return;
         };
@@ -791,21 +790,14 @@
                 share.out = share.out.saturating_sub(1);
                 share.seen = now;
                 // Service that the store gave the volume through other gateways counts like service from here.
-                share.tag += answer.elsewhere / self.plans[plan].weight.max(f64::MIN_POSITIVE);
+                share.tag += answer.elsewhere / self.plans[plan].weight;
                 if answer.outcome == Outcome::Acked {
                     share.latency += SMOOTHING * (latency - share.latency);
                 }
             }
             match answer.outcome {
                 Outcome::Acked | Outcome::Error => {
-                    let down =
-                        self.settings.get("rules.fall_time").and_then(|v| v.parse().ok()).unwrap_or(0.0);
-                    if let Some(doubt) = store.doubt.take()
-                        && now.saturating_sub(doubt.since).as_secs_f64() > down
-                    {
-                        // Silent for long: it may have restarted before the list says so.
-                        store.cold_since = store.cold_since.max(Some(doubt.since));
-                    }
+                    store.doubt = None;
                     store.answered_at = now;
                 }
                 Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
@@ -818,7 +810,7 @@
                 if store.latency > goal {
                     store.cap *= 1.0 - STEP;
                 } else if full {
-                    store.cap += STEP * mean * self.plans[plan].weight / mean_weight;
+                    store.cap += STEP * mean * self.plans[plan].weight;
                 }
                 store.cap = store.cap.clamp(mean, MOST_CAP * mean);
             }
@@ -828,16 +820,12 @@
             return self.part(answer.op);
         }
         let again = answer.outcome != Outcome::TimedOut && self.dispatches_left(taken) && now < taken.end_at;
-        if again && taken.out() == 0 {
-            self.hold(answer.op);
-        } else if taken.out() == 0 {
-            self.settle(answer.op);
-        }
+        if again { self.hold(answer.op) } else { self.settle(answer.op) }
     }
 
     fn put_in_doubt(store: &mut Store, now: Duration, shortest: Duration) {
         let wait = shortest.mul_f64(QUANTUM);
-        store.doubt.get_or_insert(Doubt { since: now, trial_at: now + wait, wait: wait * 2 });
+        store.doubt.get_or_insert(Doubt { trial_at: now + wait, wait: wait * 2 });
     }
 
     /// The op has ended: nothing more is sent for it. It is forgotten when nothing of it is out.
@@ -864,7 +852,7 @@
         if taken.ended {
             return;
         }
-        let op_type = &self.op_types[taken.op.op_type];
+        let op_type = self.op_type(taken);
         let never_ran = taken.dispatches.iter().all(|d| d.fate == Fate::NeverRan);
         let harmless = match op_type.repeats {
             Repeats::Replayable => true,
@@ -895,17 +883,12 @@
             self.subscribe_at = None;
             self.actions.push(Action::Subscribe);
         }
-        let due: Vec<OpId> = self
-            .ops
-            .iter()
-            .filter(|(_, t)| !t.ended && !t.streaming && now >= t.end_at)
-            .map(|(id, _)| *id)
-            .collect();
-        due.into_iter().for_each(|id| self.settle(id));
+        let due = |taken: &Taken| !taken.ended && !taken.streaming && now >= taken.end_at;
+        let over: Vec<OpId> = self.ops.iter().filter(|(_, t)| due(t)).map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.settle(id));
+        self.stores.retain(|_, s| s.listing.state != StoreState::Gone || s.holds_any() || !s.out.is_empty());
         let ids: Vec<StoreId> = self.stores.keys().copied().collect();
-        for id in ids {
-            self.sweep_store(id);
-        }
+        ids.into_iter().for_each(|id| self.sweep_store(id));
         let kept = 2 * self.setting_span("rules.further_span");
         for times in [&mut self.taken, &mut self.further] {
             while times.front().is_some_and(|at| *at + kept < now) {
@@ -921,7 +904,7 @@
         while store.spent.front().is_some_and(|(at, _)| *at + 2 * window < now) {
             store.spent.pop_front();
         }
-        store.volumes.retain(|_, share| !share.held.is_empty() || share.out > 0 || share.seen + IDLE > now);
+        store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
         let patience =
             shortest.mul_f64(SILENCE).max(Duration::from_secs_f64(store.latency * SILENCE_ANSWERS));
         let silent = store.out.values().any(|(at, _)| (*at).max(store.answered_at) + patience < now);
