--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,7 +97,6 @@
     held_at: Option<StoreId>,
     dispatches: Vec<Dispatch>,
     ended: bool,
-    streaming: bool,
 }
 
 impl Taken {
@@ -127,17 +126,8 @@
     ends: Duration,
 }
 
-/// A store that may not answer: ops go one at a time, at growing intervals, until one is answered.
-struct Doubt {
-    trial_at: Duration,
-    wait: Duration,
-}
-
 struct Store {
     listing: Listing,
-    /// Since when it has been cold, and from when on it may be sent anything.
-    cold_since: Option<Duration>,
-    open_at: Duration,
     /// Units sent, with their times, within the last span of the rule on cold stores.
     spent: VecDeque<(Duration, f64)>,
     out: BTreeMap<(OpId, u32), (Duration, f64)>,
@@ -148,7 +138,9 @@
     latency: f64,
     shortest: Duration,
     answered_at: Duration,
-    doubt: Option<Doubt>,
+    /// The store may not answer, or is just back: ops go one at a time, the next no sooner than this, until one
+    /// is answered.
+    doubt: Option<Duration>,
 }
 
 impl Store {
@@ -230,6 +222,7 @@
     }
 }
 
+#[derive(Default)]
 struct Running {
     now: Duration,
     started: Duration,
@@ -316,22 +309,13 @@
             now,
             started: now,
             seed,
-            draws: 0,
             mean_units: number(s, "stores.mean_units")?,
             op_types,
             plans,
             shortest,
-            ops: BTreeMap::new(),
-            stores: BTreeMap::new(),
-            lines: BTreeMap::new(),
-            volumes: BTreeMap::new(),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            list_failures: 0,
             subscribe_at: asked.then_some(now),
-            sweep_at: now,
-            actions: Vec::new(),
             settings,
+            ..Running::default()
         };
         running.sweep();
         Ok(running)
@@ -363,10 +347,9 @@
         match event {
             Event::List(news) => self.listed(news),
             Event::Arrived(op) => self.arrived(op),
+            // The client has its answer: neither time-out nor final answer is due any more.
             Event::StreamBegan { op } => {
-                if let Some(taken) = self.ops.get_mut(&op) {
-                    taken.streaming = true;
-                }
+                self.ops.get_mut(&op).into_iter().for_each(|t| t.end_at = Duration::MAX)
             }
             Event::Answered(answer) => self.answered(&answer),
             Event::ClientLeft { op } => self.part(op),
@@ -421,8 +404,6 @@
         let (cap, shortest) = (FIRST_CAP * self.mean_units, self.shortest);
         let store = self.stores.entry(listing.store).or_insert_with(|| Store {
             listing: listing.clone(),
-            cold_since: None,
-            open_at: self.now,
             spent: VecDeque::new(),
             out: BTreeMap::new(),
             volumes: BTreeMap::new(),
@@ -435,9 +416,7 @@
             doubt: None,
         });
         if back {
-            store.cold_since = listing.started;
-            store.open_at = open_at;
-            store.doubt = None;
+            store.doubt = Some(open_at);
         }
         store.listing = listing;
     }
@@ -461,7 +440,6 @@
             held_at: None,
             dispatches: Vec::new(),
             ended: false,
-            streaming: false,
             op,
         };
         let id = taken.op.id;
@@ -542,9 +520,7 @@
         if taken.dispatches.iter().any(|d| d.fate == Fate::Out) {
             return false;
         }
-        let Some(first) = taken.dispatches.iter().find(|d| d.fate != Fate::NeverRan) else {
-            return true;
-        };
+        let Some(first) = taken.dispatches.iter().find(|d| d.fate != Fate::NeverRan) else { return true };
         match op_type.repeats {
             Repeats::Replayable => true,
             Repeats::OnceOnly => false,
@@ -571,9 +547,7 @@
 
     /// Rule 6: the budget of further dispatches within its span.
     fn budget_left(&self) -> bool {
-        let Ok(share) = number(&self.settings, "rules.further_share") else {
-            return true;
-        };
+        let Ok(share) = number(&self.settings, "rules.further_share") else { return true };
         let within = |at: &&Duration| **at + self.setting_span("rules.further_span") > self.now;
         let taken = self.taken.iter().filter(within).count() as f64;
         let further =
@@ -591,9 +565,7 @@
     /// store bears at its age when it warms as slowly as is stated. Nothing in the first span after this
     /// gateway's own start: what an earlier run of it sent still counts.
     fn cold_room(&self, store: &Store) -> f64 {
-        let Some(since) = store.cold_since else {
-            return f64::INFINITY;
-        };
+        let Some(since) = store.listing.started else { return f64::INFINITY };
         let (whole, window) = (self.setting_span("rules.cold_time"), self.setting_span("rules.fall_time"));
         let age = self.now.saturating_sub(since);
         if age >= whole {
@@ -612,9 +584,7 @@
 
     /// Rule 5: it is this op's turn among those of its key.
     fn in_turn(&self, taken: &Taken) -> bool {
-        let Some(line) = taken.op.key.and_then(|key| self.lines.get(&key)) else {
-            return true;
-        };
+        let Some(line) = taken.op.key.and_then(|key| self.lines.get(&key)) else { return true };
         if !self.op_type(taken).in_order {
             return true;
         }
@@ -677,8 +647,7 @@
     /// The next op to send to a store, if one may go now.
     fn next(&mut self, id: StoreId) -> Option<OpId> {
         let store = &self.stores[&id];
-        let trial = store.doubt.as_ref().is_some_and(|doubt| self.now < doubt.trial_at);
-        if !store.ready() || self.now < store.open_at || trial {
+        if !store.ready() || store.doubt.is_some_and(|trial_at| self.now < trial_at) {
             return None;
         }
         let mut volumes: Vec<VolumeId> =
@@ -737,10 +706,7 @@
         store.out.insert((id, number), (self.now, op.units));
         store.spent.push_back((self.now, op.units));
         store.last_key = op.key;
-        if let Some(doubt) = &mut store.doubt {
-            doubt.trial_at = self.now + doubt.wait;
-            doubt.wait = (doubt.wait * 2).min(self.shortest * 4);
-        }
+        store.doubt = store.doubt.map(|_| self.now + self.shortest.mul_f64(SILENCE));
         let share = store.volumes.get_mut(&op.volume).expect("a picked volume is known");
         share.out += 1;
         share.seen = self.now;
@@ -755,16 +721,12 @@
 
     fn answered(&mut self, answer: &Answer) {
         let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
-        let Some(taken) = self.ops.get_mut(&answer.op) else {
-            return;
-        };
+        let Some(taken) = self.ops.get_mut(&answer.op) else { return };
         let fate = match answer.outcome {
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
             _ => Fate::MayHaveRan,
         };
-        let Some(dispatch) = taken.dispatches.get_mut(answer.dispatch as usize) else {
-            return;
-        };
+        let Some(dispatch) = taken.dispatches.get_mut(answer.dispatch as usize) else { return };
         if dispatch.fate != Fate::Out {
             return;
         }
@@ -801,7 +763,7 @@
                     store.answered_at = now;
                 }
                 Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
-                _ => Self::put_in_doubt(store, now, shortest),
+                _ => store.doubt = store.doubt.or(Some(now + shortest.mul_f64(SILENCE))),
             }
             if answer.outcome == Outcome::Acked {
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
@@ -816,23 +778,16 @@
             }
         }
         let taken = &self.ops[&answer.op];
-        if answer.ended || taken.ended || taken.streaming {
+        if answer.ended || taken.ended {
             return self.part(answer.op);
         }
         let again = answer.outcome != Outcome::TimedOut && self.dispatches_left(taken) && now < taken.end_at;
         if again { self.hold(answer.op) } else { self.settle(answer.op) }
     }
 
-    fn put_in_doubt(store: &mut Store, now: Duration, shortest: Duration) {
-        let wait = shortest.mul_f64(QUANTUM);
-        store.doubt.get_or_insert(Doubt { trial_at: now + wait, wait: wait * 2 });
-    }
-
     /// The op has ended: nothing more is sent for it. It is forgotten when nothing of it is out.
     fn part(&mut self, id: OpId) {
-        let Some(taken) = self.ops.get_mut(&id) else {
-            return;
-        };
+        let Some(taken) = self.ops.get_mut(&id) else { return };
         taken.ended = true;
         let (out, key, volume) = (taken.out(), taken.op.key, taken.op.volume);
         if let Some(store) = taken.held_at.take() {
@@ -860,12 +815,8 @@
             Repeats::OnceOnly => never_ran,
         };
         self.actions.push(if harmless {
-            let backlog = taken.held_at.and_then(|s| self.stores.get(&s)).map_or(0.0, |store| {
-                let held: usize = store.volumes.values().map(|share| share.held.len()).sum();
-                held as f64 * self.mean_units / store.cap * store.latency
-            });
-            let most = self.setting("limits.max_retry_after", 0.0);
-            let retry_after = Duration::from_secs_f64(backlog.max(op_type.target.as_secs_f64()).min(most));
+            let most = self.setting_span("limits.max_retry_after");
+            let retry_after = op_type.target.min(most);
             Action::Throttle { op: id, retry_after }
         } else {
             Action::Abort { op: id }
@@ -883,10 +834,12 @@
             self.subscribe_at = None;
             self.actions.push(Action::Subscribe);
         }
-        let due = |taken: &Taken| !taken.ended && !taken.streaming && now >= taken.end_at;
+        let due = |taken: &Taken| !taken.ended && now >= taken.end_at;
         let over: Vec<OpId> = self.ops.iter().filter(|(_, t)| due(t)).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|id| self.settle(id));
-        self.stores.retain(|_, s| s.listing.state != StoreState::Gone || s.holds_any() || !s.out.is_empty());
+        // A store that is gone is dropped once nothing of it counts any more, not even against its next start.
+        let of_use = |s: &Store| s.holds_any() || !s.out.is_empty() || !s.spent.is_empty();
+        self.stores.retain(|_, store| store.listing.state != StoreState::Gone || of_use(store));
         let ids: Vec<StoreId> = self.stores.keys().copied().collect();
         ids.into_iter().for_each(|id| self.sweep_store(id));
         let kept = 2 * self.setting_span("rules.further_span");
@@ -907,9 +860,8 @@
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
         let patience =
             shortest.mul_f64(SILENCE).max(Duration::from_secs_f64(store.latency * SILENCE_ANSWERS));
-        let silent = store.out.values().any(|(at, _)| (*at).max(store.answered_at) + patience < now);
-        if silent {
-            Self::put_in_doubt(store, now, shortest);
+        if store.out.values().any(|(at, _)| (*at).max(store.answered_at) + patience < now) {
+            store.doubt = store.doubt.or(Some(now));
         }
         // Another store may do: any for a new object, a successor for a shard. A drain not yet told looks like doubt.
         let held: Vec<OpId> = store.volumes.values().flat_map(|share| share.held.iter().copied()).collect();
