Keep a holder's turn while it waits for room in the cap

Only a volume past its due or an op of less utility gives way; a holder with its dues no longer loses its turn to a smaller op that fits.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,20 +38,16 @@
 /// A volume idle at a store for so long is dropped.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// Whether an op may run again; a deduplicated one anywhere, within a zone, or within the stores of one shard.
 #[derive(Clone, Copy, PartialEq)]
 enum Repeats {
     Replayable,
     Deduplicated,
+    DeduplicatedInZone,
+    DeduplicatedInShard,
     OnceOnly,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Scope {
-    All,
-    Zone,
-    Cell,
-}
-
 struct OpType {
     target: Duration,
     /// The longest time that a client of such an op still waited on its arrival here.
@@ -59,7 +55,6 @@
     /// Against the best op type's.
     utility: f64,
     repeats: Repeats,
-    scope: Scope,
     dedup_span: Duration,
     in_order: bool,
 }
@@ -266,17 +261,14 @@
                 target: span(s, &name("target_latency"))?,
                 longest_left: Duration::ZERO,
                 utility: number(s, &name("utility"))?,
-                repeats: match word(&name("repeats")) {
-                    Some("replayable") => Repeats::Replayable,
-                    Some("deduplicated") => Repeats::Deduplicated,
-                    Some("once_only") => Repeats::OnceOnly,
+                repeats: match (word(&name("repeats")), word(&name("dedup_scope"))) {
+                    (Some("replayable"), _) => Repeats::Replayable,
+                    (Some("deduplicated"), Some("all")) => Repeats::Deduplicated,
+                    (Some("deduplicated"), Some("zone")) => Repeats::DeduplicatedInZone,
+                    (Some("deduplicated"), _) => Repeats::DeduplicatedInShard,
+                    (Some("once_only"), _) => Repeats::OnceOnly,
                     _ => return Err(name("repeats")),
                 },
-                scope: match word(&name("dedup_scope")) {
-                    Some("all") => Scope::All,
-                    Some("zone") => Scope::Zone,
-                    _ => Scope::Cell,
-                },
                 dedup_span: span(s, &name("dedup_span")).unwrap_or_default(),
                 in_order: word(&name("in_order")) == Some("true"),
             });
@@ -520,22 +512,15 @@
         if taken.dispatches.iter().any(|d| d.fate == Fate::Out) {
             return false;
         }
-        let Some(first) = taken.dispatches.iter().find(|d| d.fate != Fate::NeverRan) else { return true };
+        let ran = taken.dispatches.iter().find(|d| d.fate != Fate::NeverRan);
+        let Some(first) = ran.filter(|_| op_type.repeats != Repeats::Replayable) else { return true };
+        let Some((a, b)) = self.stores.get(&first.store).zip(self.stores.get(&to)) else { return false };
+        let remembered = self.now + self.setting_span("tick") < first.at + op_type.dedup_span;
         match op_type.repeats {
-            Repeats::Replayable => true,
+            Repeats::Replayable | Repeats::Deduplicated => remembered,
+            Repeats::DeduplicatedInZone => remembered && a.listing.zone == b.listing.zone,
+            Repeats::DeduplicatedInShard => remembered && a.listing.shard == b.listing.shard,
             Repeats::OnceOnly => false,
-            Repeats::Deduplicated => {
-                let (Some(a), Some(b)) = (self.stores.get(&first.store), self.stores.get(&to)) else {
-                    return false;
-                };
-                let remembered = self.now + self.setting_span("tick") < first.at + op_type.dedup_span;
-                remembered
-                    && match op_type.scope {
-                        Scope::All => true,
-                        Scope::Zone => a.listing.zone == b.listing.zone,
-                        Scope::Cell => a.listing.shard == b.listing.shard,
-                    }
-            }
         }
     }
 
@@ -641,7 +626,7 @@
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
         let part = self.op_type(taken).utility * due;
         let calm = store.latency <= store.goal() * (1.0 + part);
-        store.out.is_empty() && calm || store.units_out() + taken.op.units <= store.cap * part
+        part >= 1.0 || store.out.is_empty() && calm || store.units_out() + taken.op.units <= store.cap * part
     }
 
     /// The next op to send to a store, if one may go now.
@@ -809,18 +794,10 @@
         }
         let op_type = self.op_type(taken);
         let never_ran = taken.dispatches.iter().all(|d| d.fate == Fate::NeverRan);
-        let harmless = match op_type.repeats {
-            Repeats::Replayable => true,
-            Repeats::Deduplicated => never_ran || op_type.scope == Scope::All,
-            Repeats::OnceOnly => never_ran,
-        };
-        self.actions.push(if harmless {
-            let most = self.setting_span("limits.max_retry_after");
-            let retry_after = op_type.target.min(most);
-            Action::Throttle { op: id, retry_after }
-        } else {
-            Action::Abort { op: id }
-        });
+        let harmless = matches!(op_type.repeats, Repeats::Replayable | Repeats::Deduplicated);
+        let retry_after = op_type.target.min(self.setting_span("limits.max_retry_after"));
+        let throttle = Action::Throttle { op: id, retry_after };
+        self.actions.push(if harmless || never_ran { throttle } else { Action::Abort { op: id } });
         self.part(id);
     }
 
