--- a/src/choice.rs
+++ b/src/choice.rs
@@ -124,7 +124,7 @@
 struct Store {
     listing: Listing,
     /// Units sent, with their times, within the last span of the rule on cold stores.
-    spent: VecDeque<(Duration, f64)>,
+    spent: Vec<(Duration, f64)>,
     out: BTreeMap<(OpId, u32), (Duration, f64)>,
     volumes: BTreeMap<VolumeId, Share>,
     turn: Option<Turn>,
@@ -196,24 +196,21 @@
 impl Gateway {
     /// Takes what happened at `now` and returns what is to be done.
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
-        let mut actions = Vec::new();
         for event in events {
-            match (event, &mut self.running) {
-                (Event::Start { seed, settings }, running) => match Running::start(now, seed, settings) {
-                    Ok(started) => *running = Some(started),
+            if let Event::Start { seed, settings } = event {
+                match Running::start(now, seed, settings) {
+                    Ok(running) => self.running = Some(running),
                     Err(name) => {
-                        actions.push(Action::Fatal(format!("setting {name} is missing or unreadable")))
+                        return vec![Action::Fatal(format!("setting {name} is missing or unreadable"))];
                     }
-                },
-                (event, Some(running)) => running.take(now, event),
-                (_, None) => {}
+                }
+            } else if let Some(running) = &mut self.running {
+                running.take(now, event);
             }
         }
-        if let Some(running) = &mut self.running {
-            running.pump_all();
-            actions.append(&mut running.actions);
-        }
-        actions
+        let Some(running) = &mut self.running else { return Vec::new() };
+        running.pump();
+        std::mem::take(&mut running.actions)
     }
 }
 
@@ -233,8 +230,8 @@
     lines: BTreeMap<u64, Line>,
     volumes: BTreeMap<VolumeId, Volume>,
     /// When ops were taken and further dispatches made, within the budget's span.
-    taken: VecDeque<Duration>,
-    further: VecDeque<Duration>,
+    taken: Vec<Duration>,
+    further: Vec<Duration>,
     list_failures: u32,
     subscribe_at: Option<Duration>,
     sweep_at: Duration,
@@ -280,7 +277,7 @@
                 weight: number(s, &name("weight"))?.max(f64::MIN_POSITIVE),
                 limit: number(s, &name("limit")).unwrap_or(0.0),
                 limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
-                rate: number(s, &name("rate")).unwrap_or(0.0),
+                rate: number(s, &name("rate")).unwrap_or(f64::INFINITY),
                 due: number(s, &name("reserve")).unwrap_or(0.0),
             });
         }
@@ -358,45 +355,33 @@
                 // The notice may belong to a call or a subscription: ask again, later each time and not in step
                 // with other gateways, for the list serves few calls at once.
                 self.list_failures += 1;
-                let most = self.setting_span("rules.ask_within");
-                let wait =
-                    (most / 16 * 2u32.pow(self.list_failures.min(4))).mul_f64(0.5 + self.chance() / 2.0);
-                self.subscribe_at = Some(self.now + wait);
+                let wait = self.setting_span("rules.ask_within") / 2u32.pow(5 - self.list_failures.min(4));
+                self.subscribe_at = Some(self.now + wait.mul_f64(1.0 + self.chance()));
                 return;
             }
             ListNews::Changes(listings) => (false, listings),
             ListNews::Full(listings) | ListNews::Cached(listings) => (true, listings),
         };
         self.list_failures = 0;
-        if whole {
-            for (id, store) in &mut self.stores {
-                if !listings.iter().any(|listing| listing.store == *id) {
-                    store.listing.state = StoreState::Gone;
-                }
-            }
-        }
-        for listing in listings {
-            self.listed_one(listing);
-        }
-        let held: Vec<OpId> =
-            self.ops.iter().filter(|(_, t)| t.held_at.is_some()).map(|(id, _)| *id).collect();
-        for op in held {
-            self.hold(op);
-        }
+        let named = |id: &StoreId| listings.iter().any(|listing| listing.store == *id);
+        let unnamed = self.stores.iter_mut().filter(|(id, _)| whole && !named(id));
+        unnamed.for_each(|(_, store)| store.listing.state = StoreState::Gone);
+        listings.into_iter().for_each(|listing| self.listed_one(listing));
+        let held = self.ops.iter().filter(|(_, taken)| taken.held_at.is_some());
+        let held: Vec<OpId> = held.map(|(id, _)| *id).collect();
+        held.into_iter().for_each(|op| self.hold(op));
     }
 
     fn listed_one(&mut self, listing: Listing) {
-        let news = match self.stores.get(&listing.store) {
-            Some(known) => known.listing.started != listing.started || !known.ready(),
-            None => true,
-        };
+        let known = self.stores.get(&listing.store);
+        let news = known.is_none_or(|known| known.listing.started != listing.started || !known.ready());
         let back = news && listing.state == StoreState::Ready && listing.started.is_some();
         // A store just back meets all gateways at once; a random wait spreads their first ops.
         let open_at = self.now + self.setting_span("rules.fall_time").mul_f64(self.chance());
         let (cap, shortest) = (FIRST_CAP * self.mean_units, self.shortest);
         let store = self.stores.entry(listing.store).or_insert_with(|| Store {
             listing: listing.clone(),
-            spent: VecDeque::new(),
+            spent: Vec::new(),
             out: BTreeMap::new(),
             volumes: BTreeMap::new(),
             turn: None,
@@ -422,7 +407,7 @@
             self.actions.push(Action::Abort { op: op.id });
             return;
         };
-        self.taken.push_back(self.now);
+        self.taken.push(self.now);
         // What a client has waited through earlier tries shows against the longest time one of this type came with.
         op_type.longest_left = op_type.longest_left.max(op.left);
         let waited = op_type.longest_left.saturating_sub(op.left);
@@ -533,11 +518,10 @@
     /// Rule 6: the budget of further dispatches within its span.
     fn budget_left(&self) -> bool {
         let Ok(share) = number(&self.settings, "rules.further_share") else { return true };
-        let within = |at: &&Duration| **at + self.setting_span("rules.further_span") > self.now;
-        let taken = self.taken.iter().filter(within).count() as f64;
-        let further =
-            self.further.iter().filter(|at| **at + self.setting_span("rules.further_span") >= self.now);
-        further.count() as f64 + 1.0 <= self.setting("rules.further_free", 0.0) + share * taken
+        let since = self.now.saturating_sub(self.setting_span("rules.further_span"));
+        let taken = self.taken.iter().filter(|at| **at > since).count() as f64;
+        let further = self.further.iter().filter(|at| **at >= since).count() as f64;
+        further + 1.0 <= self.setting("rules.further_free", 0.0) + share * taken
     }
 
     /// Rule 7: this gateway's part of the volume's limit. It starts empty, since an earlier run of this gateway
@@ -553,16 +537,13 @@
         let Some(since) = store.listing.started else { return f64::INFINITY };
         let (whole, window) = (self.setting_span("rules.cold_time"), self.setting_span("rules.fall_time"));
         let age = self.now.saturating_sub(since);
-        if age >= whole {
-            return f64::INFINITY;
-        }
-        if self.now < self.started + window {
-            return 0.0;
+        if age >= whole || self.now < self.started + window {
+            return if age >= whole { f64::INFINITY } else { 0.0 };
         }
         let from = self.setting("rules.cold_from", 1.0).max(f64::MIN_POSITIVE);
         let warmth = 1.0 + (1.0 - from) / from * age.as_secs_f64() / whole.as_secs_f64();
-        let spent: f64 =
-            store.spent.iter().filter(|(at, _)| *at + window >= self.now).map(|(_, units)| units).sum();
+        let recent = store.spent.iter().filter(|(at, _)| *at + window >= self.now);
+        let spent: f64 = recent.map(|(_, units)| units).sum();
         let bearable = self.setting("stores.cold_units", self.mean_units) * warmth * COLD_SHARE;
         bearable / self.setting("gateways", 1.0).max(1.0) - spent
     }
@@ -583,7 +564,7 @@
 
     // Turns.
 
-    fn pump_all(&mut self) {
+    fn pump(&mut self) {
         let stores: Vec<StoreId> =
             self.stores.iter().filter(|(_, s)| s.holds_any()).map(|(id, _)| *id).collect();
         for id in stores {
@@ -676,7 +657,7 @@
         let op = taken.op.clone();
         taken.held_at = None;
         if !taken.dispatches.is_empty() {
-            self.further.push_back(self.now);
+            self.further.push(self.now);
         } else if let Some(volume) = self.volumes.get_mut(&op.volume) {
             volume.allowance -= op.units;
             volume.rate += op.units;
@@ -689,7 +670,7 @@
         let store = self.stores.get_mut(&to).expect("a picked store is known");
         store.shortest = store.shortest.min(target);
         store.out.insert((id, number), (self.now, op.units));
-        store.spent.push_back((self.now, op.units));
+        store.spent.push((self.now, op.units));
         store.last_key = op.key;
         store.doubt = store.doubt.map(|_| self.now + self.shortest.mul_f64(SILENCE));
         let share = store.volumes.get_mut(&op.volume).expect("a picked volume is known");
@@ -707,24 +688,19 @@
     fn answered(&mut self, answer: &Answer) {
         let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
         let Some(taken) = self.ops.get_mut(&answer.op) else { return };
-        let fate = match answer.outcome {
+        let dispatch = taken.dispatches.get_mut(answer.dispatch as usize);
+        let Some(dispatch) = dispatch.filter(|d| d.fate == Fate::Out) else { return };
+        dispatch.fate = match answer.outcome {
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
             _ => Fate::MayHaveRan,
         };
-        let Some(dispatch) = taken.dispatches.get_mut(answer.dispatch as usize) else { return };
-        if dispatch.fate != Fate::Out {
-            return;
-        }
-        dispatch.fate = fate;
         let place = dispatch.store;
         let (volume, key, plan) = (taken.op.volume, taken.op.key, taken.op.plan);
         // Departure: a heavy op's answer counts as an average op's, or one large op would shrink the next counts.
         let latency = answer.latency.as_secs_f64() / (taken.op.units / mean).max(1.0);
-        let unknown = matches!(
-            answer.outcome,
-            Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::Unknown
-        );
-        if let Some(line) = key.filter(|_| unknown).and_then(|key| self.lines.get_mut(&key)) {
+        use Outcome::{Cancelled, Reset, TimedOut, Unknown};
+        let unsure = matches!(answer.outcome, TimedOut | Reset | Cancelled | Unknown);
+        if let Some(line) = key.filter(|_| unsure).and_then(|key| self.lines.get_mut(&key)) {
             line.rest_until = now + span(&self.settings, "rules.order_pause").unwrap_or_default();
         }
         if let Some(known) = self.volumes.get_mut(&volume) {
@@ -754,11 +730,8 @@
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
                 store.latency += SMOOTHING * (latency - store.latency);
                 let (goal, full) = (store.goal(), store.units_out() + 2.0 * mean > store.cap);
-                if store.latency > goal {
-                    store.cap *= 1.0 - STEP;
-                } else if full {
-                    store.cap += STEP * mean * self.plans[plan].weight;
-                }
+                let step = if full { mean * self.plans[plan].weight } else { 0.0 };
+                store.cap += STEP * if store.latency > goal { -store.cap } else { step };
                 store.cap = store.cap.clamp(mean, MOST_CAP * mean);
             }
         }
@@ -820,20 +793,15 @@
         let ids: Vec<StoreId> = self.stores.keys().copied().collect();
         ids.into_iter().for_each(|id| self.sweep_store(id));
         let kept = 2 * self.setting_span("rules.further_span");
-        for times in [&mut self.taken, &mut self.further] {
-            while times.front().is_some_and(|at| *at + kept < now) {
-                times.pop_front();
-            }
-        }
+        self.taken.retain(|at| *at + kept >= now);
+        self.further.retain(|at| *at + kept >= now);
         self.lines.retain(|_, line| !line.ops.is_empty() || line.rest_until > now);
     }
 
     fn sweep_store(&mut self, id: StoreId) {
         let (now, shortest, window) = (self.now, self.shortest, self.setting_span("rules.fall_time"));
         let store = self.stores.get_mut(&id).expect("a listed store is known");
-        while store.spent.front().is_some_and(|(at, _)| *at + 2 * window < now) {
-            store.spent.pop_front();
-        }
+        store.spent.retain(|(at, _)| *at + 2 * window >= now);
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
         let patience =
             shortest.mul_f64(SILENCE).max(Duration::from_secs_f64(store.latency * SILENCE_ANSWERS));
@@ -843,9 +811,7 @@
         // Another store may do: any for a new object, a successor for a shard. A drain not yet told looks like doubt.
         let held: Vec<OpId> = store.volumes.values().flat_map(|share| share.held.iter().copied()).collect();
         if store.doubt.is_some() || !store.ready() {
-            for op in &held {
-                self.hold(*op);
-            }
+            held.iter().for_each(|op| self.hold(*op));
         }
         // A late op that could not go at once is given up at the next look, so that its client may ask again:
         // kept, late ops fill the gaps that other gateways' ops could still be answered in.
