Never send a late op, not even into idle moments

Cause: seen by one gateway the store is idle, seen by all it is not; late answers earn a fifth and take room from ops of other gateways that could still be in time. It may harm where late answers earn nearly the full utility.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -576,7 +576,7 @@
 
     /// The op of a volume that goes next: one that continues the run on a key, else the one of most utility,
     /// else the one taken first.
-    fn pick(&self, store: StoreId, volume: VolumeId, late: bool) -> Option<OpId> {
+    fn pick(&self, store: StoreId, volume: VolumeId) -> Option<OpId> {
         let place = &self.stores[&store];
         let room = self.cold_room(place);
         let may_go = |id: &OpId| {
@@ -587,7 +587,7 @@
                 && if taken.dispatches.is_empty() { self.limit_left(&taken.op) } else { self.budget_left() }
                 && self.now < taken.end_at
                 && self.leaves_room(place, taken)
-                && (late || !self.late(taken, place))
+                && !self.late(taken, place)
         };
         let able = place.volumes.get(&volume)?.held.iter().filter(|id| may_go(id));
         let best = able.min_by(|a, b| {
@@ -619,23 +619,21 @@
         let mut volumes: Vec<VolumeId> =
             store.volumes.iter().filter(|(_, s)| !s.held.is_empty()).map(|(v, _)| *v).collect();
         volumes.sort_by(|a, b| store.volumes[a].tag.total_cmp(&store.volumes[b].tag));
-        // Departure: late ops go only when no volume holds one that can still be answered in time.
-        let on_time: Vec<VolumeId> =
-            volumes.iter().copied().filter(|v| self.pick(id, *v, false).is_some()).collect();
-        let late = on_time.is_empty();
-        let able = if late { volumes } else { on_time };
+        let able: Vec<(VolumeId, OpId)> =
+            volumes.into_iter().filter_map(|v| Some((v, self.pick(id, v)?))).collect();
         let store = &self.stores[&id];
-        if let Some(turn) = store.turn.as_ref().filter(|turn| able.contains(&turn.volume)) {
+        let holder =
+            store.turn.as_ref().and_then(|turn| Some((turn, able.iter().find(|(v, _)| *v == turn.volume)?)));
+        if let Some((turn, (volume, op))) = holder {
             if turn.count >= 1.0 && self.now < turn.ends {
-                let op = self.pick(id, turn.volume, late)?;
-                return self.fits(id, op).then_some(op);
+                return self.fits(id, *op).then_some(*op);
             }
             // Departure: in doubt, a hung op must not freeze the rotation until its time-out.
-            if store.volumes[&turn.volume].out > 0 && store.doubt.is_none() {
+            if store.volumes[volume].out > 0 && store.doubt.is_none() {
                 return None;
             }
         }
-        let (volume, op) = able.into_iter().find_map(|v| Some((v, self.pick(id, v, late)?)))?;
+        let (volume, op) = *able.first()?;
         if !self.fits(id, op) {
             return None;
         }
