--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,13 +1,13 @@
 //! Every decision of a gateway: which held op goes to which store, when, and which is turned away.
 //!
 //! Callers build one [`Gateway`] an instance and feed [`Gateway::handle`] all that happened at one moment; it
-//! returns what is to be done, in order. Events, actions and plain types are in [`crate::interface`]. The first
-//! event is `Start`. There is no clock, wire or shared state here: time is what the caller says, and chance
-//! comes from the seed and a counter.
+//! returns what is to be done, in order. Events, actions and plain types are in [`crate::interface`]. The
+//! first event is `Start`. There is no clock, wire or shared state here: time is what the caller says, and
+//! chance comes from the seed and a counter.
 //!
-//! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count of ops and a quantum
-//! of time, the next turn goes to the smallest tag, and a cap bounds the units out. What departs from it is
-//! marked "Departure" beside the code and explained in docs/design.md.
+//! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count of ops and a
+//! quantum of time, the next turn goes to the smallest tag, and a cap bounds the units out. What departs from
+//! it is marked "Departure" beside the code and explained in docs/design.md.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -31,14 +31,13 @@
 /// How often what only time changes is looked at, against the shortest target latency.
 const SWEEP: f64 = 0.0625;
 /// Silence that puts a store in doubt, against the shortest target latency and the store's average latency.
-const SILENCE: f64 = 0.5;
-const SILENCE_ANSWERS: f64 = 4.0;
+const SILENCE: (f64, f64) = (0.5, 4.0);
 /// The share of a cold store's bearable units that all gateways together use; the rest covers handshakes.
 const COLD_SHARE: f64 = 0.8;
 /// A volume idle at a store for so long is dropped.
 const IDLE: Duration = Duration::from_secs(60);
 
-/// Whether an op may run again; a deduplicated one anywhere, within a zone, or within the stores of one shard.
+/// Whether an op may run again, and where.
 #[derive(Clone, Copy, PartialEq)]
 enum Repeats {
     Replayable,
@@ -65,8 +64,8 @@
     limit: f64,
     limit_burst: f64,
     rate: f64,
-    /// Units a second that a volume may have before it yields: its reserve, and by weight as much beyond it as
-    /// the plans' volumes are sized for in the mean.
+    /// Units a second that a volume may have before it yields: its reserve, and by weight as much beyond it
+    /// as the plans' volumes are sized for in the mean.
     due: f64,
 }
 
@@ -133,8 +132,8 @@
     latency: f64,
     shortest: Duration,
     answered_at: Duration,
-    /// The store may not answer, or is just back: ops go one at a time, the next no sooner than this, until one
-    /// is answered.
+    /// The store may not answer, or is just back: ops go one at a time, the next no sooner than this, until
+    /// one is answered.
     doubt: Option<Duration>,
 }
 
@@ -177,7 +176,8 @@
 }
 
 impl Volume {
-    /// Brings the record to now: what is known fades within a second, the span that a plan's dues are counted in.
+    /// Brings the record to now: what is known fades within a second, the span that a plan's dues are counted
+    /// in.
     fn age(&mut self, now: Duration, plan: &Plan, gateways: f64) {
         let past = now.saturating_sub(self.at).as_secs_f64();
         let filled = self.allowance + plan.limit / gateways * past;
@@ -352,8 +352,8 @@
     fn listed(&mut self, news: ListNews) {
         let (whole, listings) = match news {
             ListNews::Failed => {
-                // The notice may belong to a call or a subscription: ask again, later each time and not in step
-                // with other gateways, for the list serves few calls at once.
+                // The notice may belong to a call or a subscription: ask again, later each time and not in
+                // step with other gateways, for the list serves few calls at once.
                 self.list_failures += 1;
                 let wait = self.setting_span("rules.ask_within") / 2u32.pow(5 - self.list_failures.min(4));
                 self.subscribe_at = Some(self.now + wait.mul_f64(1.0 + self.chance()));
@@ -408,7 +408,8 @@
             return;
         };
         self.taken.push(self.now);
-        // What a client has waited through earlier tries shows against the longest time one of this type came with.
+        // What a client has waited through earlier tries shows against the longest time one of this type came
+        // with.
         op_type.longest_left = op_type.longest_left.max(op.left);
         let waited = op_type.longest_left.saturating_sub(op.left);
         let taken = Taken {
@@ -464,8 +465,8 @@
         }
     }
 
-    /// The first store in rank that has not enough, among those of the op's shard, or all for a new object. A new
-    /// object's ranking is the volume's, by hashing; of two stores with one shard the older, warm one is first.
+    /// The first store in rank that has not enough, of those with the op's shard or of all for a new object.
+    /// A new object's ranking is the volume's, by hashing; of two with one shard the older, warm one is first.
     fn home(&self, taken: &Taken) -> Option<StoreId> {
         let of_shard = |store: &Store| taken.op.shard.is_none_or(|shard| store.listing.shard == shard);
         let rank = |store: &Store| {
@@ -486,9 +487,8 @@
         let ready = stores().filter(|(id, store)| store.ready() && self.may_resend(taken, **id));
         let best = ready.min_by_key(|(_, store)| (rounds(store), rank(store)));
         // With none ready, an op on existing data waits for a successor.
-        let waiting =
-            || stores().max_by_key(|(_, store)| store.listing.started).filter(|_| taken.op.shard.is_some());
-        best.or_else(waiting).map(|(id, _)| *id)
+        let newest = || stores().max_by_key(|(_, store)| store.listing.started);
+        best.or_else(|| newest().filter(|_| taken.op.shard.is_some())).map(|(id, _)| *id)
     }
 
     /// Rule 2: no effect twice, and no two dispatches at once where they are not allowed.
@@ -524,14 +524,14 @@
         further + 1.0 <= self.setting("rules.further_free", 0.0) + share * taken
     }
 
-    /// Rule 7: this gateway's part of the volume's limit. It starts empty, since an earlier run of this gateway
-    /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
+    /// Rule 7: this gateway's part of the volume's limit. It starts empty, since an earlier run of this
+    /// gateway may have drawn it down, and fills at the limit's rate over the volume's gateways.
     fn limit_left(&self, op: &Op) -> bool {
         self.plans[op.plan].limit <= 0.0 || self.volumes[&op.volume].allowance >= op.units
     }
 
-    /// Rule 4: units that this gateway may still send a cold store now. All gateways use an even part of what a
-    /// store bears at its age when it warms as slowly as is stated. Nothing in the first span after this
+    /// Rule 4: units that this gateway may still send a cold store now. All gateways use an even part of what
+    /// a store bears at its age when it warms as slowly as is stated. Nothing in the first span after this
     /// gateway's own start: what an earlier run of it sent still counts.
     fn cold_room(&self, store: &Store) -> f64 {
         let Some(since) = store.listing.started else { return f64::INFINITY };
@@ -550,10 +550,8 @@
 
     /// Rule 5: it is this op's turn among those of its key.
     fn in_turn(&self, taken: &Taken) -> bool {
-        let Some(line) = taken.op.key.and_then(|key| self.lines.get(&key)) else { return true };
-        if !self.op_type(taken).in_order {
-            return true;
-        }
+        let key = taken.op.key.filter(|_| self.op_type(taken).in_order);
+        let Some(line) = key.and_then(|key| self.lines.get(&key)) else { return true };
         let rested = self.now >= line.rest_until || !taken.dispatches.is_empty();
         line.ops.front() == Some(&taken.op.id) && rested
     }
@@ -565,9 +563,9 @@
     // Turns.
 
     fn pump(&mut self) {
-        let stores: Vec<StoreId> =
-            self.stores.iter().filter(|(_, s)| s.holds_any()).map(|(id, _)| *id).collect();
-        for id in stores {
+        let holding = self.stores.iter().filter(|(_, store)| store.holds_any());
+        let holding: Vec<StoreId> = holding.map(|(id, _)| *id).collect();
+        for id in holding {
             while let Some(op) = self.next(id) {
                 self.dispatch(op, id);
             }
@@ -599,9 +597,10 @@
         best.copied()
     }
 
-    /// Departure: under load a part of the cap stays free. An op of less utility, or of a volume past what its
-    /// plan entitles it to, goes only into as much of the cap as its utility is of the best and as its volume's
-    /// due is of its rate. Gateways that cannot see each other's volumes so yield to those with more due.
+    /// Departure: under load a part of the cap stays free. An op of less utility, or of a volume past what
+    /// its plan entitles it to, goes only into as much of the cap as its utility is of the best and as its
+    /// volume's due is of its rate. Gateways that cannot see each other's volumes so yield to those with more
+    /// due.
     fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
         let volume = &self.volumes[&taken.op.volume];
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
@@ -616,27 +615,24 @@
         if !store.ready() || store.doubt.is_some_and(|trial_at| self.now < trial_at) {
             return None;
         }
-        let mut volumes: Vec<VolumeId> =
-            store.volumes.iter().filter(|(_, s)| !s.held.is_empty()).map(|(v, _)| *v).collect();
+        let mut volumes: Vec<VolumeId> = store.volumes.keys().copied().collect();
         volumes.sort_by(|a, b| store.volumes[a].tag.total_cmp(&store.volumes[b].tag));
         let able: Vec<(VolumeId, OpId)> =
             volumes.into_iter().filter_map(|v| Some((v, self.pick(id, v)?))).collect();
         let store = &self.stores[&id];
+        let fits = |op: &OpId| store.out.is_empty() || store.units_out() + self.ops[op].op.units <= store.cap;
         let holder =
             store.turn.as_ref().and_then(|turn| Some((turn, able.iter().find(|(v, _)| *v == turn.volume)?)));
         if let Some((turn, (volume, op))) = holder {
             if turn.count >= 1.0 && self.now < turn.ends {
-                return self.fits(id, *op).then_some(*op);
+                return fits(op).then_some(*op);
             }
             // Departure: in doubt, a hung op must not freeze the rotation until its time-out.
             if store.volumes[volume].out > 0 && store.doubt.is_none() {
                 return None;
             }
         }
-        let (volume, op) = *able.first()?;
-        if !self.fits(id, op) {
-            return None;
-        }
+        let (volume, op) = able.first().copied().filter(|(_, op)| fits(op))?;
         let (now, mean) = (self.now, self.mean_units);
         let store = self.stores.get_mut(&id)?;
         let quantum = store.shortest.mul_f64(QUANTUM);
@@ -645,11 +641,6 @@
         Some(op)
     }
 
-    fn fits(&self, store: StoreId, op: OpId) -> bool {
-        let store = &self.stores[&store];
-        store.out.is_empty() || store.units_out() + self.ops[&op].op.units <= store.cap
-    }
-
     fn dispatch(&mut self, id: OpId, to: StoreId) {
         let taken = self.ops.get_mut(&id).expect("a picked op is known");
         let op = taken.op.clone();
@@ -670,7 +661,7 @@
         store.out.insert((id, number), (self.now, op.units));
         store.spent.push((self.now, op.units));
         store.last_key = op.key;
-        store.doubt = store.doubt.map(|_| self.now + self.shortest.mul_f64(SILENCE));
+        store.doubt = store.doubt.map(|_| self.now + self.shortest.mul_f64(SILENCE.0));
         let share = store.volumes.get_mut(&op.volume).expect("a picked volume is known");
         share.out += 1;
         share.seen = self.now;
@@ -694,7 +685,8 @@
         };
         let place = dispatch.store;
         let (volume, key, plan) = (taken.op.volume, taken.op.key, taken.op.plan);
-        // Departure: a heavy op's answer counts as an average op's, or one large op would shrink the next counts.
+        // Departure: a heavy op's answer counts as an average op's, or one large op would shrink the next
+        // counts.
         let latency = answer.latency.as_secs_f64() / (taken.op.units / mean).max(1.0);
         use Outcome::{Cancelled, Reset, TimedOut, Unknown};
         let unsure = matches!(answer.outcome, TimedOut | Reset | Cancelled | Unknown);
@@ -710,7 +702,8 @@
             if let Some(share) = store.volumes.get_mut(&volume) {
                 share.out = share.out.saturating_sub(1);
                 share.seen = now;
-                // Service that the store gave the volume through other gateways counts like service from here.
+                // Service that the store gave the volume through other gateways counts like service from
+                // here.
                 share.tag += answer.elsewhere / self.plans[plan].weight;
                 if answer.outcome == Outcome::Acked {
                     share.latency += SMOOTHING * (latency - share.latency);
@@ -722,7 +715,7 @@
                     store.answered_at = now;
                 }
                 Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
-                _ => store.doubt = store.doubt.or(Some(now + shortest.mul_f64(SILENCE))),
+                _ => store.doubt = store.doubt.or(Some(now + shortest.mul_f64(SILENCE.0))),
             }
             if answer.outcome == Outcome::Acked {
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
@@ -760,9 +753,6 @@
     /// The final answer to an op that this gateway gives up.
     fn settle(&mut self, id: OpId) {
         let taken = &self.ops[&id];
-        if taken.ended {
-            return;
-        }
         let op_type = self.op_type(taken);
         let never_ran = taken.dispatches.iter().all(|d| d.fate == Fate::NeverRan);
         let harmless = matches!(op_type.repeats, Repeats::Replayable | Repeats::Deduplicated);
@@ -785,7 +775,7 @@
         let due = |taken: &Taken| !taken.ended && now >= taken.end_at;
         let over: Vec<OpId> = self.ops.iter().filter(|(_, t)| due(t)).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|id| self.settle(id));
-        // A store that is gone is dropped once nothing of it counts any more, not even against its next start.
+        // A store that is gone is dropped once nothing of it counts, not even against its next start.
         let of_use = |s: &Store| s.holds_any() || !s.out.is_empty() || !s.spent.is_empty();
         self.stores.retain(|_, store| store.listing.state != StoreState::Gone || of_use(store));
         let ids: Vec<StoreId> = self.stores.keys().copied().collect();
@@ -801,12 +791,11 @@
         let store = self.stores.get_mut(&id).expect("a listed store is known");
         store.spent.retain(|(at, _)| *at + 2 * window >= now);
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
-        let patience =
-            shortest.mul_f64(SILENCE).max(Duration::from_secs_f64(store.latency * SILENCE_ANSWERS));
+        let patience = shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(store.latency * SILENCE.1));
         if store.out.values().any(|(at, _)| (*at).max(store.answered_at) + patience < now) {
             store.doubt = store.doubt.or(Some(now));
         }
-        // Another store may do: any for a new object, a successor for a shard. A drain not yet told looks like doubt.
+        // Another store may do, or a successor: a drain that is not yet told looks like doubt.
         let held: Vec<OpId> = store.volumes.values().flat_map(|share| share.held.iter().copied()).collect();
         if store.doubt.is_some() || !store.ready() {
             held.iter().for_each(|op| self.hold(*op));
@@ -814,13 +803,10 @@
         // A late op that could not go at once is given up at the next look, so that its client may ask again:
         // kept, late ops fill the gaps that other gateways' ops could still be answered in.
         let store = &self.stores[&id];
-        let mut over = Vec::new();
-        for op in held {
-            let Some(taken) = self.ops.get(&op).filter(|t| t.held_at == Some(id)) else { continue };
-            if self.late(taken, store) || !taken.dispatches.is_empty() && !self.may_resend(taken, id) {
-                over.push(op);
-            }
-        }
+        let here =
+            held.into_iter().filter(|op| self.ops.get(op).is_some_and(|taken| taken.held_at == Some(id)));
+        let over = |op: &OpId| self.late(&self.ops[op], store) || !self.may_resend(&self.ops[op], id);
+        let over: Vec<OpId> = here.filter(over).collect();
         over.into_iter().for_each(|op| self.settle(op));
     }
 }
