--- a/src/choice.rs
+++ b/src/choice.rs
@@ -466,7 +466,7 @@
     }
 
     /// The first store in rank that has not enough, of those with the op's shard or of all for a new object.
-    /// A new object's ranking is the volume's, by hashing; of two with one shard the older, warm one is first.
+    /// A new object's ranking is the volume's, by hashing; of two with one shard the older one is first.
     fn home(&self, taken: &Taken) -> Option<StoreId> {
         let of_shard = |store: &Store| taken.op.shard.is_none_or(|shard| store.listing.shard == shard);
         let rank = |store: &Store| {
