--- a/src/choice.rs
+++ b/src/choice.rs
@@ -132,14 +132,24 @@
     latency: f64,
     shortest: Duration,
     answered_at: Duration,
+    /// When the newest dispatch that it has answered was sent.
+    overtaken_to: Duration,
     /// The store may not answer, or is just back: ops go one at a time, the next no sooner than this, until
     /// one is answered.
     doubt: Option<Duration>,
 }
 
 impl Store {
+    /// Units out that still count. One overtaken by far is taken for lost: a lost op must not fill the cap
+    /// until its time-out.
     fn units_out(&self) -> f64 {
-        self.out.values().map(|&(_, units)| units).sum()
+        self.out.values().filter(|(at, _)| !self.lost(*at)).map(|&(_, units)| units).sum()
+    }
+    fn lost(&self, at: Duration) -> bool {
+        at + self.patience() < self.overtaken_to
+    }
+    fn patience(&self) -> Duration {
+        self.shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(self.latency * SILENCE.1))
     }
     fn ready(&self) -> bool {
         self.listing.state == StoreState::Ready
@@ -390,6 +400,7 @@
             latency: shortest.as_secs_f64() * SEED,
             shortest,
             answered_at: self.now,
+            overtaken_to: Duration::ZERO,
             doubt: None,
         });
         if back {
@@ -606,7 +617,9 @@
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
         let part = self.op_type(taken).utility * due;
         let calm = store.latency <= store.goal() * (1.0 + part);
-        part >= 1.0 || store.out.is_empty() && calm || store.units_out() + taken.op.units <= store.cap * part
+        part >= 1.0
+            || store.units_out() == 0.0 && calm
+            || store.units_out() + taken.op.units <= store.cap * part
     }
 
     /// The next op to send to a store, if one may go now.
@@ -620,15 +633,17 @@
         let able: Vec<(VolumeId, OpId)> =
             volumes.into_iter().filter_map(|v| Some((v, self.pick(id, v)?))).collect();
         let store = &self.stores[&id];
-        let fits = |op: &OpId| store.out.is_empty() || store.units_out() + self.ops[op].op.units <= store.cap;
+        let fits =
+            |op: &OpId| store.units_out() == 0.0 || store.units_out() + self.ops[op].op.units <= store.cap;
         let holder =
             store.turn.as_ref().and_then(|turn| Some((turn, able.iter().find(|(v, _)| *v == turn.volume)?)));
         if let Some((turn, (volume, op))) = holder {
             if turn.count >= 1.0 && self.now < turn.ends {
                 return fits(op).then_some(*op);
             }
-            // Departure: in doubt, a hung op must not freeze the rotation until its time-out.
-            if store.volumes[volume].out > 0 && store.doubt.is_none() {
+            // Departure: neither a lost op nor a hung store must freeze the rotation until a time-out.
+            let counts = |id: &OpId, at: Duration| !store.lost(at) && self.ops[id].op.volume == *volume;
+            if store.doubt.is_none() && store.out.iter().any(|((id, _), (at, _))| counts(id, *at)) {
                 return None;
             }
         }
@@ -683,7 +698,7 @@
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => Fate::NeverRan,
             _ => Fate::MayHaveRan,
         };
-        let place = dispatch.store;
+        let (place, at) = (dispatch.store, dispatch.at);
         let (volume, key, plan) = (taken.op.volume, taken.op.key, taken.op.plan);
         // Departure: a heavy op's answer counts as an average op's, or one large op would shrink the next
         // counts.
@@ -713,6 +728,7 @@
                 Outcome::Acked | Outcome::Error => {
                     store.doubt = None;
                     store.answered_at = now;
+                    store.overtaken_to = store.overtaken_to.max(at);
                 }
                 Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
                 _ => store.doubt = store.doubt.or(Some(now + shortest.mul_f64(SILENCE.0))),
@@ -787,12 +803,11 @@
     }
 
     fn sweep_store(&mut self, id: StoreId) {
-        let (now, shortest, window) = (self.now, self.shortest, self.setting_span("rules.fall_time"));
+        let (now, window) = (self.now, self.setting_span("rules.fall_time"));
         let store = self.stores.get_mut(&id).expect("a listed store is known");
         store.spent.retain(|(at, _)| *at + 2 * window >= now);
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
-        let patience = shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(store.latency * SILENCE.1));
-        if store.out.values().any(|(at, _)| (*at).max(store.answered_at) + patience < now) {
+        if store.out.values().any(|(at, _)| (*at).max(store.answered_at) + store.patience() < now) {
             store.doubt = store.doubt.or(Some(now));
         }
         // Another store may do, or a successor: a drain that is not yet told looks like doubt.
