--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,13 +1,12 @@
 //! Every decision of a gateway: which held op goes to which store, when, and which is turned away.
 //!
-//! Callers build one [`Gateway`] an instance and feed [`Gateway::handle`] all that happened at one moment; it
-//! returns what is to be done, in order. Events, actions and plain types are in [`crate::interface`]. The
-//! first event is `Start`. There is no clock, wire or shared state here: time is what the caller says, and
-//! chance comes from the seed and a counter.
+//! Callers build one [`Gateway`] an instance and feed [`Gateway::handle`] all that happened at one moment, a
+//! `Start` first; it returns what is to be done, in order. Events and actions are in [`crate::interface`].
+//! There is no clock, wire or shared state here; chance comes from the seed and a counter.
 //!
-//! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count of ops and a
-//! quantum of time, the next turn goes to the smallest tag, and a cap bounds the units out. What departs from
-//! it is marked "Departure" beside the code and explained in docs/design.md.
+//! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count and a quantum,
+//! the next goes to the smallest tag, and a cap bounds the units out. What departs from it is marked
+//! "Departure" beside the code and explained in docs/design.md.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -64,8 +63,7 @@
     limit: f64,
     limit_burst: f64,
     rate: f64,
-    /// Units a second that a volume may have before it yields: its reserve, and by weight as much beyond it
-    /// as the plans' volumes are sized for in the mean.
+    /// Units a second before a volume yields: its reserve, and by weight what the plans' rates go beyond it.
     due: f64,
 }
 
@@ -94,8 +92,8 @@
 }
 
 impl Taken {
-    fn out(&self) -> usize {
-        self.dispatches.iter().filter(|d| d.fate == Fate::Out).count()
+    fn out(&self) -> bool {
+        self.dispatches.iter().any(|dispatch| dispatch.fate == Fate::Out)
     }
 }
 
@@ -131,20 +129,18 @@
     cap: f64,
     latency: f64,
     shortest: Duration,
-    answered_at: Duration,
     /// When the newest dispatch that it has answered was sent.
     overtaken_to: Duration,
-    /// The store may not answer, or is just back: ops go one at a time, the next no sooner than this, until
-    /// one is answered.
+    /// It may not answer, or is just back: until it does, ops go one at a time, no sooner than this.
     doubt: Option<Duration>,
 }
 
 impl Store {
-    /// Units out that still count. One overtaken by far is taken for lost: a lost op must not fill the cap
-    /// until its time-out.
+    /// Units out that still count. Departure: a lost op must not fill the cap until its time-out.
     fn units_out(&self) -> f64 {
         self.out.values().filter(|(at, _)| !self.lost(*at)).map(|&(_, units)| units).sum()
     }
+    /// An op overtaken by far is taken for lost.
     fn lost(&self, at: Duration) -> bool {
         at + self.patience() < self.overtaken_to
     }
@@ -295,15 +291,13 @@
         op_types.iter_mut().for_each(|op_type| op_type.utility /= best);
         let mean_weight = plans.iter().map(|plan| plan.weight).sum::<f64>() / plans.len() as f64;
         plans.iter_mut().for_each(|plan| plan.weight /= mean_weight);
-        let spare =
-            plans.iter().map(|plan| (plan.rate - plan.due) / plan.weight).sum::<f64>() / plans.len() as f64;
+        let beyond = plans.iter().map(|plan| (plan.rate - plan.due) / plan.weight);
+        let spare = beyond.sum::<f64>() / plans.len() as f64;
         plans.iter_mut().for_each(|plan| plan.due += plan.weight * spare);
-        number(s, "gateways")?;
-        for name in ["tick", "rules.cold_time", "rules.fall_time"] {
+        for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
             span(s, name)?;
         }
         let shortest = op_types.iter().map(|t| t.target).min().ok_or("op_types.count")?;
-        let asked = word("discovery") == Some("asked");
         let mut running = Running {
             now,
             started: now,
@@ -312,7 +306,7 @@
             op_types,
             plans,
             shortest,
-            subscribe_at: asked.then_some(now),
+            subscribe_at: (word("discovery") == Some("asked")).then_some(now),
             settings,
             ..Running::default()
         };
@@ -399,8 +393,7 @@
             cap,
             latency: shortest.as_secs_f64() * SEED,
             shortest,
-            answered_at: self.now,
-            overtaken_to: Duration::ZERO,
+            overtaken_to: self.now,
             doubt: None,
         });
         if back {
@@ -505,13 +498,10 @@
     /// Rule 2: no effect twice, and no two dispatches at once where they are not allowed.
     fn may_resend(&self, taken: &Taken, to: StoreId) -> bool {
         let op_type = self.op_type(taken);
-        if taken.dispatches.iter().any(|d| d.fate == Fate::Out) {
-            return false;
-        }
         let ran = taken.dispatches.iter().find(|d| d.fate != Fate::NeverRan);
-        let Some(first) = ran.filter(|_| op_type.repeats != Repeats::Replayable) else { return true };
+        let Some(first) = ran.filter(|_| op_type.repeats != Repeats::Replayable) else { return !taken.out() };
         let Some((a, b)) = self.stores.get(&first.store).zip(self.stores.get(&to)) else { return false };
-        let remembered = self.now + self.setting_span("tick") < first.at + op_type.dedup_span;
+        let remembered = !taken.out() && self.now + self.setting_span("tick") < first.at + op_type.dedup_span;
         match op_type.repeats {
             Repeats::Replayable | Repeats::Deduplicated => remembered,
             Repeats::DeduplicatedInZone => remembered && a.listing.zone == b.listing.zone,
@@ -727,7 +717,6 @@
             match answer.outcome {
                 Outcome::Acked | Outcome::Error => {
                     store.doubt = None;
-                    store.answered_at = now;
                     store.overtaken_to = store.overtaken_to.max(at);
                 }
                 Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
@@ -758,7 +747,7 @@
         if let Some(store) = taken.held_at.take() {
             self.unhold(id, store, volume);
         }
-        if out == 0 {
+        if !out {
             self.ops.remove(&id);
             if let Some(line) = key.and_then(|key| self.lines.get_mut(&key)) {
                 line.ops.retain(|op| *op != id);
@@ -807,7 +796,7 @@
         let store = self.stores.get_mut(&id).expect("a listed store is known");
         store.spent.retain(|(at, _)| *at + 2 * window >= now);
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
-        if store.out.values().any(|(at, _)| (*at).max(store.answered_at) + store.patience() < now) {
+        if store.out.values().any(|(at, _)| (*at).max(store.overtaken_to) + store.patience() < now) {
             store.doubt = store.doubt.or(Some(now));
         }
         // Another store may do, or a successor: a drain that is not yet told looks like doubt.
