--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,6 @@
 const SWEEP: f64 = 0.0625;
 /// Silence that puts a store in doubt, against the shortest target latency and the store's average latency.
 const SILENCE: (f64, f64) = (0.5, 4.0);
-/// The share of a cold store's bearable units that all gateways together use; the rest covers handshakes.
-const COLD_SHARE: f64 = 0.8;
 /// A volume idle at a store for so long is dropped.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -545,7 +543,7 @@
         let warmth = 1.0 + (1.0 - from) / from * age.as_secs_f64() / whole.as_secs_f64();
         let recent = store.spent.iter().filter(|(at, _)| *at + window >= self.now);
         let spent: f64 = recent.map(|(_, units)| units).sum();
-        let bearable = self.setting("stores.cold_units", self.mean_units) * warmth * COLD_SHARE;
+        let bearable = self.setting("stores.cold_units", self.mean_units) * warmth;
         bearable / self.setting("gateways", 1.0).max(1.0) - spent
     }
 
