--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,7 +25,7 @@
 const FIRST_CAP: f64 = 4.0;
 const MOST_CAP: f64 = 16.0;
 /// The answer latency that the cap steers for, against the shortest target latency, and its step an answer.
-const STEER: f64 = 0.25;
+const STEER: f64 = 0.35;
 const STEP: f64 = 0.03;
 /// How often what only time changes is looked at, against the shortest target latency.
 const SWEEP: f64 = 0.0625;
