--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -218,30 +218,29 @@
 
 impl Host {
     /// Hands each instance its events of the batch and collects what they ask for.
-    pub fn handle(&mut self, batch: &Batch) -> Result<Reply, Malformed> {
+    pub fn handle(&mut self, batch: Batch) -> Result<Reply, Malformed> {
         let mut reply = Reply::default();
         let mut touched = Vec::new();
-        for item in &batch.items {
+        for item in batch.items {
             match item {
                 Item::Sheet { page, entries } => {
-                    let copy = entries.iter().map(|e| Entry { ..*e }).collect();
-                    self.sheets.insert(*page, copy);
+                    self.sheets.insert(page, entries);
                 }
                 Item::For { instance, record: Record::Stop } => {
-                    self.instances.remove(instance);
+                    self.instances.remove(&instance);
                 }
                 Item::For { instance, record } => {
                     if let Record::OpenInstance { .. } = record {
-                        self.instances.insert(*instance, Instance::default());
+                        self.instances.insert(instance, Instance::default());
                     }
-                    let Some(host) = self.instances.get_mut(instance) else {
+                    let Some(host) = self.instances.get_mut(&instance) else {
                         continue;
                     };
-                    if let Some(event) = host.event(record, &self.sheets)? {
+                    if let Some(event) = host.event(&record, &self.sheets)? {
                         host.events.push(event);
                     }
-                    if !touched.contains(instance) {
-                        touched.push(*instance);
+                    if !touched.contains(&instance) {
+                        touched.push(instance);
                     }
                 }
             }
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -17,7 +17,7 @@
         let Some(frame) = read_frame(&mut input).map_err(at)? else {
             break;
         };
-        let reply = codec::read_batch(&frame).and_then(|batch| host.handle(&batch)).map_err(at)?;
+        let reply = codec::read_batch(&frame).and_then(|batch| host.handle(batch)).map_err(at)?;
         output.write_all(&reply.frame()).and_then(|()| output.flush()).map_err(lost)?;
     }
     Ok(())
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -251,6 +251,12 @@
     Duration::try_from_secs_f64(number(settings, name)?).map_err(|_| name.to_string())
 }
 
+fn hashed(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Running {
     fn start(now: Duration, seed: u64, settings: Settings) -> Result<Running, String> {
         let s = &settings;
@@ -328,9 +334,7 @@
     /// Between 0 and 1, the same for the same seed and count of draws.
     fn chance(&mut self) -> f64 {
         self.draws += 1;
-        let mut hasher = DefaultHasher::new();
-        (self.seed, self.draws).hash(&mut hasher);
-        hasher.finish() as f64 / u64::MAX as f64
+        hashed((self.seed, self.draws)) as f64 / u64::MAX as f64
     }
 
     fn take(&mut self, now: Duration, event: Event) {
@@ -471,10 +475,9 @@
     /// A new object's ranking is the volume's, by hashing; of two with one shard the older one is first.
     fn home(&self, taken: &Taken) -> Option<StoreId> {
         let of_shard = |store: &Store| taken.op.shard.is_none_or(|shard| store.listing.shard == shard);
-        let rank = |store: &Store| {
-            let mut hasher = DefaultHasher::new();
-            (taken.op.volume_name, store.listing.shard).hash(&mut hasher);
-            (store.listing.started.filter(|_| taken.op.shard.is_some()), hasher.finish())
+        let rank = |store: &Store| match taken.op.shard {
+            Some(_) => (store.listing.started, 0),
+            None => (None, hashed((taken.op.volume_name, store.listing.shard))),
         };
         let rounds = |store: &Store| {
             if store.doubt.is_some() || self.cold_room(store) < taken.op.units {
@@ -620,7 +623,6 @@
         volumes.sort_by(|a, b| store.volumes[a].tag.total_cmp(&store.volumes[b].tag));
         let able: Vec<(VolumeId, OpId)> =
             volumes.into_iter().filter_map(|v| Some((v, self.pick(id, v)?))).collect();
-        let store = &self.stores[&id];
         let fits =
             |op: &OpId| store.units_out() == 0.0 || store.units_out() + self.ops[op].op.units <= store.cap;
         let holder =
@@ -679,6 +681,7 @@
 
     fn answered(&mut self, answer: &Answer) {
         let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
+        let pause = self.setting_span("rules.order_pause");
         let Some(taken) = self.ops.get_mut(&answer.op) else { return };
         let dispatch = taken.dispatches.get_mut(answer.dispatch as usize);
         let Some(dispatch) = dispatch.filter(|d| d.fate == Fate::Out) else { return };
@@ -694,7 +697,7 @@
         use Outcome::{Cancelled, Reset, TimedOut, Unknown};
         let unsure = matches!(answer.outcome, TimedOut | Reset | Cancelled | Unknown);
         if let Some(line) = key.filter(|_| unsure).and_then(|key| self.lines.get_mut(&key)) {
-            line.rest_until = now + span(&self.settings, "rules.order_pause").unwrap_or_default();
+            line.rest_until = now + pause;
         }
         if let Some(known) = self.volumes.get_mut(&volume) {
             known.rate += answer.elsewhere;
