--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 /// The answer latency that the cap steers for, against the shortest target latency, and its step an answer.
 const STEER: f64 = 0.35;
 const STEP: f64 = 0.03;
+/// Up to so much of that latency, and as much again as its part, an op that yields may go to an idle store.
+const CALM: f64 = 0.75;
 /// How often what only time changes is looked at, against the shortest target latency.
 const SWEEP: f64 = 0.0625;
 /// Silence that puts a store in doubt, against the shortest target latency and the store's average latency.
@@ -428,8 +430,7 @@
         let store = self.stores.get_mut(&to).expect("a home is known");
         let active = store.volumes.values().filter(|share| share.active()).map(|share| share.tag);
         let floor = active.min_by(f64::total_cmp).unwrap_or(0.0);
-        let latency = target.as_secs_f64() * SEED;
-        let newcomer = Share { tag: floor, latency, ..Share::default() };
+        let newcomer = Share { tag: floor, latency: target.as_secs_f64() * SEED, ..Share::default() };
         let share = store.volumes.entry(volume).or_insert(newcomer);
         if !share.active() {
             share.tag = share.tag.max(floor);
@@ -594,7 +595,7 @@
         let volume = &self.volumes[&taken.op.volume];
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
         let part = self.op_type(taken).utility * due;
-        let calm = store.latency <= store.goal() * (1.0 + part);
+        let calm = store.latency <= store.goal() * (CALM + part);
         part >= 1.0
             || store.units_out() == 0.0 && calm
             || store.units_out() + taken.op.units <= store.cap * part
@@ -627,11 +628,10 @@
             }
         }
         let (volume, op) = able.first().copied().filter(|(_, op)| fits(op))?;
-        let (now, mean) = (self.now, self.mean_units);
         let store = self.stores.get_mut(&id)?;
         let quantum = store.shortest.mul_f64(QUANTUM);
-        let count = quantum.as_secs_f64() / store.volumes[&volume].latency * store.cap / mean;
-        store.turn = Some(Turn { volume, count: count.max(1.0), ends: now + quantum });
+        let count = quantum.as_secs_f64() / store.volumes[&volume].latency * store.cap / self.mean_units;
+        store.turn = Some(Turn { volume, count: count.max(1.0), ends: self.now + quantum });
         Some(op)
     }
 
