--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,7 +41,6 @@
 /// A volume idle at a store for so long is dropped.
 const IDLE: Duration = Duration::from_secs(60);
 
-/// Whether an op may run again, and where.
 #[derive(Clone, Copy, PartialEq)]
 enum Repeats {
     Replayable,
@@ -72,7 +71,6 @@
     due: f64,
 }
 
-/// What became of one dispatch.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
     Out,
@@ -156,7 +154,6 @@
     fn holds_any(&self) -> bool {
         self.volumes.values().any(|share| !share.held.is_empty())
     }
-    /// The answer latency that the cap steers for.
     fn goal(&self) -> f64 {
         self.shortest.as_secs_f64() * STEER
     }
@@ -226,6 +223,7 @@
     list_failures: u32,
     subscribe_at: Option<Duration>,
     sweep_at: Duration,
+    stalled: bool,
     actions: Vec<Action>,
 }
 
@@ -305,7 +303,6 @@
         Ok(running)
     }
 
-    /// A setting that may be absent.
     fn setting(&self, name: &str, otherwise: f64) -> f64 {
         number(&self.settings, name).unwrap_or(otherwise)
     }
@@ -318,14 +315,16 @@
         &self.op_types[taken.op.op_type]
     }
 
-    /// Between 0 and 1, the same for the same seed and count of draws.
     fn chance(&mut self) -> f64 {
         self.draws += 1;
         hashed((self.seed, self.draws)) as f64 / u64::MAX as f64
     }
 
     fn take(&mut self, now: Duration, event: Event) {
-        self.now = now;
+        // A timer that rings late tells of this gateway's own stall: what spans it is no store's doing.
+        if now > self.now {
+            (self.stalled, self.now) = (now > self.sweep_at + self.shortest.mul_f64(SWEEP), now);
+        }
         match event {
             Event::List(news) => self.listed(news),
             Event::Arrived(op) => self.arrived(op),
@@ -568,11 +567,12 @@
         let left = self.volumes[&volume].allowance;
         let may_go = |id: &OpId| {
             let taken = &self.ops[id];
-            let endless = self.plans[taken.op.plan].limit <= 0.0;
             self.bears(place, &taken.op)
                 && self.in_turn(taken)
                 && self.may_resend(taken, store)
-                && (!taken.dispatches.is_empty() || endless || left >= taken.op.units)
+                && (!taken.dispatches.is_empty()
+                    || self.plans[taken.op.plan].limit <= 0.0
+                    || left >= taken.op.units)
                 && (taken.dispatches.is_empty() || self.budget_left())
                 && self.now < taken.end_at
                 && self.leaves_room(place, taken)
@@ -699,7 +699,7 @@
                 share.seen = now;
                 // Service told as given through other gateways counts like service from here.
                 share.tag += answer.elsewhere / self.plans[plan].weight;
-                if answer.outcome == Outcome::Acked {
+                if answer.outcome == Outcome::Acked && !self.stalled {
                     share.latency += SMOOTHING * (latency - share.latency);
                 }
             }
@@ -714,7 +714,7 @@
                 Outcome::Moot | Outcome::Cancelled | Outcome::Unknown => {}
                 _ => store.doubt = store.doubt.or(Some(now + shortest.mul_f64(SILENCE.0))),
             }
-            if answer.outcome == Outcome::Acked {
+            if answer.outcome == Outcome::Acked && !self.stalled {
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
                 store.latency += smoothing * (latency - store.latency);
                 let (goal, full) = (store.goal(), store.units_out() + 2.0 * mean > store.cap);
@@ -728,7 +728,7 @@
             }
             // Departure: answers too late for any op type tell of a store that all together send too much.
             let late = store.latency > LATE * shortest.as_secs_f64();
-            if answer.outcome == Outcome::Full || late && store.overtaken_to <= at {
+            if answer.outcome == Outcome::Full || late && store.overtaken_to <= at && !self.stalled {
                 store.cap = (store.cap / 2.0).max(mean * LEAST_CAP);
             }
         }
@@ -799,7 +799,7 @@
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
         let patience =
             self.shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(store.latency * SILENCE.1));
-        if store.out.values().any(|(at, _)| (*at).max(store.overtaken_to) + patience < now) {
+        if !self.stalled && store.out.values().any(|(at, _)| (*at).max(store.overtaken_to) + patience < now) {
             store.doubt = store.doubt.or(Some(now));
         }
         // Another store may do, or a successor: a drain that is not yet told looks like doubt.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -188,6 +188,19 @@
     assert!(world.sent_to(0, 0).contains(&OpId(9)));
 }
 
+/// Answers that waited for this gateway's own stall must not make a quick store look slow or silent.
+#[test]
+fn a_stall_of_this_gateway_is_no_stores_doing() {
+    let mut world = one_store();
+    for id in 0..4 {
+        world.arrive(0, op(id, id, 0));
+    }
+    world.now += ms(700);
+    (0..4).for_each(|id| world.answer(0, OpId(id), 0, Outcome::Acked));
+    (4..8).for_each(|id| world.arrive(0, op(id, id, 0)));
+    assert_eq!(world.sent_to(0, 0).len(), 8, "the cap and the average stand as before the stall");
+}
+
 #[test]
 fn a_new_object_goes_to_the_same_store_from_every_gateway() {
     let list = (0..5).map(|i| listing(i, i, None, StoreState::Ready)).collect();
