Work out a cold store's warmth once a pick; plain loop over the needed settings

Found on reading the change again: each held op of a store that once restarted parsed the settings on cold stores anew.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -138,6 +138,7 @@
     shortest: Duration,
     /// When the newest dispatch that it has answered was sent.
     overtaken_to: Duration,
+    /// When it was last sent an op, and when this gateway last heard that it is back.
     sent_at: Duration,
     back_at: Duration,
     /// It may not answer, or is just back: until it does, ops go one at a time, no sooner than this.
@@ -283,9 +284,9 @@
         let beyond = plans.iter().map(|plan| (plan.rate - plan.due) / plan.weight);
         let spare = beyond.sum::<f64>() / plans.len() as f64;
         plans.iter_mut().for_each(|plan| plan.due += plan.weight * spare);
-        ["gateways", "tick", "rules.cold_time", "rules.fall_time"]
-            .iter()
-            .try_for_each(|n| span(s, n).map(drop))?;
+        for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
+            span(s, name)?;
+        }
         let shortest = op_types.iter().map(|t| t.target).min().ok_or("op_types.count")?;
         let mut running = Running {
             now,
@@ -510,8 +511,7 @@
     /// bears. Nothing in the first span after this gateway's start: what an earlier run sent still counts.
     /// Departure: where many gateways leave less than an op each, a volume's ops also go spaced by `pace`,
     /// the first at a random time within it, or all gateways would meet the store at once.
-    fn bears(&self, store: &Store, op: &Op) -> bool {
-        let Some(warmth) = self.warmth(store) else { return true };
+    fn bears(&self, store: &Store, op: &Op, warmth: f64) -> bool {
         let window = self.setting_span("rules.fall_time");
         let recent = store.spent.iter().filter(|(at, _)| *at + window >= self.now);
         let spent: f64 = recent.map(|(_, units)| units).sum();
@@ -564,10 +564,10 @@
     /// A volume's next op: one that continues the run on a key, else of most utility, else the first taken.
     fn pick(&self, store: StoreId, volume: VolumeId) -> Option<OpId> {
         let place = &self.stores[&store];
-        let left = self.volumes[&volume].allowance;
+        let (warmth, left) = (self.warmth(place), self.volumes[&volume].allowance);
         let may_go = |id: &OpId| {
             let taken = &self.ops[id];
-            self.bears(place, &taken.op)
+            warmth.is_none_or(|warmth| self.bears(place, &taken.op, warmth))
                 && self.in_turn(taken)
                 && self.may_resend(taken, store)
                 && (!taken.dispatches.is_empty()
