--- /dev/null
+++ b/crates/store-wire/src/store.rs
@@ -0,0 +1,309 @@
+//! Between a gateway and a store.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::{MAGIC, Malformed, Message, Reader, VERSION};
+
+/// What a dispatch asks of an extent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Work {
+    Read,
+    Write,
+    /// The range reads as zeros from now on.
+    Zero,
+    /// The range need not be kept; it reads as zeros.
+    Trim,
+    /// All of the volume's writes that this store has acked are safe before it answers.
+    Flush,
+    /// Which parts of the range hold data.
+    Status,
+}
+
+impl Work {
+    const ALL: [Work; 6] = [Work::Read, Work::Write, Work::Zero, Work::Trim, Work::Flush, Work::Status];
+
+    pub fn writes(self) -> bool {
+        matches!(self, Work::Write | Work::Zero | Work::Trim)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// Counts up within a gateway's run and is never used twice in it.
+    pub number: u64,
+    pub volume: u64,
+    pub extent: u64,
+    pub work: Work,
+    /// Bytes within the extent.
+    pub offset: u32,
+    pub length: u32,
+    pub units: f64,
+    /// The fence in time: on its own clock (microseconds) the store neither begins nor applies it after this.
+    pub not_after: u64,
+    /// The fence in order: earlier dispatches of this gateway's run that must have no effect from now on.
+    pub voids: Vec<u64>,
+    /// Safe on the medium before the answer.
+    pub durable: bool,
+    /// A write's data, `length` bytes.
+    pub data: Bytes,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToStore {
+    /// The first frame: the run of the gateway that speaks, drawn anew at each of its starts.
+    Hello {
+        run: u64,
+    },
+    Dispatch(Dispatch),
+    Cancel {
+        number: u64,
+    },
+    Probe {
+        token: u64,
+    },
+}
+
+/// What became of a dispatch, by the store's word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Code {
+    Acked,
+    /// It failed; it may have run.
+    Error,
+    /// Turned away unseen: the queue is full or the store drains.
+    Full,
+    /// Fenced off: its time is up or a later dispatch has voided it. It has not run and will not.
+    Fenced,
+    Cancelled,
+    /// This store does not hold the extent. It has not run.
+    Elsewhere,
+}
+
+impl Code {
+    const ALL: [Code; 6] =
+        [Code::Acked, Code::Error, Code::Full, Code::Fenced, Code::Cancelled, Code::Elsewhere];
+}
+
+/// A part of an extent that holds data, or holds none and reads as zeros.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stretch {
+    pub length: u32,
+    pub data: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub number: u64,
+    /// A code that this version does not know is `Err`.
+    pub code: Result<Code, u8>,
+    /// The store's clock, in microseconds.
+    pub clock: u64,
+    /// The volume's service everywhere in a finished period, as a ratio to its plan's rate.
+    pub used: Option<f64>,
+    /// Units served for the volume through other gateways since the last answer here.
+    pub elsewhere: f64,
+    pub report: Vec<(String, f64)>,
+    /// For `Work::Status`: the range asked about, in order.
+    pub stretches: Vec<Stretch>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromStore {
+    /// The answer to `Hello`.
+    Welcome {
+        store: u64,
+        shard: u32,
+        clock: u64,
+    },
+    /// Part of a read, in order; the answer follows the last.
+    Data {
+        number: u64,
+        offset: u32,
+        data: Bytes,
+    },
+    /// As `Data`, of zeros.
+    Hole {
+        number: u64,
+        offset: u32,
+        length: u32,
+    },
+    Answer(Answer),
+    Probed {
+        token: u64,
+        clock: u64,
+        report: Vec<(String, f64)>,
+    },
+}
+
+fn put_text(out: &mut BytesMut, text: &str) {
+    out.put_u16(text.len() as u16);
+    out.put_slice(text.as_bytes());
+}
+
+fn put_report(out: &mut BytesMut, report: &[(String, f64)]) {
+    out.put_u16(report.len() as u16);
+    for (name, value) in report {
+        put_text(out, name);
+        out.put_f64(*value);
+    }
+}
+
+fn report(fields: &mut Reader) -> Result<Vec<(String, f64)>, Malformed> {
+    fields.list(|fields| Ok((fields.text()?, fields.amount("report")?)))
+}
+
+impl Message for ToStore {
+    fn kind(&self) -> u8 {
+        match self {
+            ToStore::Hello { .. } => 1,
+            ToStore::Dispatch(_) => 2,
+            ToStore::Cancel { .. } => 3,
+            ToStore::Probe { .. } => 4,
+        }
+    }
+
+    fn tail(&self) -> Option<&Bytes> {
+        let ToStore::Dispatch(dispatch) = self else { return None };
+        Some(&dispatch.data)
+    }
+
+    fn put_fields(&self, out: &mut BytesMut) {
+        match self {
+            ToStore::Hello { run } => {
+                out.put_u32(MAGIC);
+                out.put_u16(VERSION);
+                out.put_u64(*run);
+            }
+            ToStore::Dispatch(dispatch) => {
+                out.put_u64(dispatch.number);
+                out.put_u64(dispatch.volume);
+                out.put_u64(dispatch.extent);
+                out.put_u8(Work::ALL.iter().position(|work| *work == dispatch.work).unwrap_or(0) as u8);
+                out.put_u32(dispatch.offset);
+                out.put_u32(dispatch.length);
+                out.put_f64(dispatch.units);
+                out.put_u64(dispatch.not_after);
+                out.put_u16(dispatch.voids.len() as u16);
+                dispatch.voids.iter().for_each(|number| out.put_u64(*number));
+                out.put_u8(dispatch.durable.into());
+            }
+            ToStore::Cancel { number } => out.put_u64(*number),
+            ToStore::Probe { token } => out.put_u64(*token),
+        }
+    }
+
+    fn read(kind: u8, fields: &mut Reader) -> Result<ToStore, Malformed> {
+        Ok(match kind {
+            1 => {
+                fields.opening()?;
+                ToStore::Hello { run: fields.u64()? }
+            }
+            2 => ToStore::Dispatch(dispatch(fields)?),
+            3 => ToStore::Cancel { number: fields.u64()? },
+            4 => ToStore::Probe { token: fields.u64()? },
+            _ => return Err(fields.unknown()),
+        })
+    }
+}
+
+fn dispatch(fields: &mut Reader) -> Result<Dispatch, Malformed> {
+    let (number, volume, extent, work) = (fields.u64()?, fields.u64()?, fields.u64()?, fields.u8()?);
+    let work = *Work::ALL.get(usize::from(work)).ok_or_else(|| fields.bad("work", work.into()))?;
+    let (offset, length, units) = (fields.u32()?, fields.u32()?, fields.amount("units")?);
+    let (not_after, voids) = (fields.u64()?, fields.list(Reader::u64)?);
+    let durable = fields.u8()? != 0;
+    let data = fields.rest();
+    let wanted = if work == Work::Write { length as usize } else { 0 };
+    if data.len() != wanted || offset.checked_add(length).is_none() {
+        return Err(fields.bad("length", length.into()));
+    }
+    Ok(Dispatch { number, volume, extent, work, offset, length, units, not_after, voids, durable, data })
+}
+
+impl Message for FromStore {
+    fn kind(&self) -> u8 {
+        match self {
+            FromStore::Welcome { .. } => 65,
+            FromStore::Data { .. } => 66,
+            FromStore::Hole { .. } => 67,
+            FromStore::Answer(_) => 68,
+            FromStore::Probed { .. } => 69,
+        }
+    }
+
+    fn tail(&self) -> Option<&Bytes> {
+        let FromStore::Data { data, .. } = self else { return None };
+        Some(data)
+    }
+
+    fn put_fields(&self, out: &mut BytesMut) {
+        match self {
+            FromStore::Welcome { store, shard, clock } => {
+                out.put_u32(MAGIC);
+                out.put_u16(VERSION);
+                out.put_u64(*store);
+                out.put_u32(*shard);
+                out.put_u64(*clock);
+            }
+            FromStore::Data { number, offset, .. } => {
+                out.put_u64(*number);
+                out.put_u32(*offset);
+            }
+            FromStore::Hole { number, offset, length } => {
+                out.put_u64(*number);
+                out.put_u32(*offset);
+                out.put_u32(*length);
+            }
+            FromStore::Answer(answer) => put_answer(out, answer),
+            FromStore::Probed { token, clock, report } => {
+                out.put_u64(*token);
+                out.put_u64(*clock);
+                put_report(out, report);
+            }
+        }
+    }
+
+    fn read(kind: u8, fields: &mut Reader) -> Result<FromStore, Malformed> {
+        Ok(match kind {
+            65 => {
+                fields.opening()?;
+                FromStore::Welcome { store: fields.u64()?, shard: fields.u32()?, clock: fields.u64()? }
+            }
+            66 => FromStore::Data { number: fields.u64()?, offset: fields.u32()?, data: fields.rest() },
+            67 => FromStore::Hole { number: fields.u64()?, offset: fields.u32()?, length: fields.u32()? },
+            68 => FromStore::Answer(answer(fields)?),
+            69 => FromStore::Probed { token: fields.u64()?, clock: fields.u64()?, report: report(fields)? },
+            _ => return Err(fields.unknown()),
+        })
+    }
+}
+
+fn put_answer(out: &mut BytesMut, answer: &Answer) {
+    out.put_u64(answer.number);
+    out.put_u8(match answer.code {
+        Ok(code) => Code::ALL.iter().position(|known| *known == code).unwrap_or(0) as u8,
+        Err(unknown) => unknown,
+    });
+    out.put_u64(answer.clock);
+    out.put_u8(answer.used.is_some().into());
+    answer.used.iter().for_each(|used| out.put_f64(*used));
+    out.put_f64(answer.elsewhere);
+    put_report(out, &answer.report);
+    out.put_u16(answer.stretches.len() as u16);
+    for stretch in &answer.stretches {
+        out.put_u32(stretch.length);
+        out.put_u8(stretch.data.into());
+    }
+}
+
+fn answer(fields: &mut Reader) -> Result<Answer, Malformed> {
+    let (number, code) = (fields.u64()?, fields.u8()?);
+    Ok(Answer {
+        number,
+        code: Code::ALL.get(usize::from(code)).copied().ok_or(code),
+        clock: fields.u64()?,
+        used: fields.option(|fields| fields.amount("used"))?,
+        elsewhere: fields.amount("elsewhere")?,
+        report: report(fields)?,
+        stretches: fields.list(|fields| Ok(Stretch { length: fields.u32()?, data: fields.u8()? != 0 }))?,
+    })
+}
