--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,95 @@
-fn main() {}
+//! The program `umbertray`.
+
+mod demo;
+mod nbd;
+mod output;
+mod serve;
+mod stand_in;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// A storage gateway: NBD clients on one side, storage nodes on the other, and each volume kept to its plan.
+#[derive(Parser)]
+#[command(name = "umbertray", version)]
+struct Arguments {
+    /// The form of the log on standard error.
+    #[arg(long, value_enum, default_value = "pretty", global = true)]
+    log: LogForm,
+    /// What is logged, such as "info" or "umbertray_gateway=debug".
+    #[arg(long, default_value = "info", global = true)]
+    log_level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Pretty,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one gateway until SIGTERM or SIGINT.
+    Serve(serve::Arguments),
+    /// Runs gateways with stand-in stores and list on loopback; prints their addresses as one line of JSON.
+    Demo(demo::Arguments),
+    /// Looks at settings.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Runs a scripted store or list, for trying a gateway by hand.
+    #[command(subcommand)]
+    StandIn(stand_in::Command),
+    /// A small NBD client.
+    #[command(subcommand)]
+    Nbd(nbd::Command),
+}
+
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Prints the settings as understood, or every error with file, line and column.
+    Check { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Err(error) = log(&arguments) {
+        eprintln!("umbertray: --log-level: {error}");
+        return ExitCode::from(2);
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(format!("no runtime: {error}")),
+    };
+    let ended = match arguments.command {
+        Command::Serve(arguments) => runtime.block_on(serve::run(arguments)),
+        Command::Demo(arguments) => runtime.block_on(demo::run(arguments)),
+        Command::Config(ConfigCommand::Check { file }) => {
+            serve::document(&file).map(|document| output::print(&document.as_script()))
+        }
+        Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
+        Command::Nbd(command) => runtime.block_on(nbd::run(command)),
+    };
+    // What still waits for a clock or a socket must not hold up the exit.
+    runtime.shutdown_background();
+    ended.map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
+fn failed(why: String) -> ExitCode {
+    eprintln!("umbertray: {why}");
+    ExitCode::FAILURE
+}
+
+fn log(arguments: &Arguments) -> Result<(), String> {
+    let filter = tracing_subscriber::EnvFilter::try_new(&arguments.log_level).map_err(|e| e.to_string())?;
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match arguments.log {
+        LogForm::Pretty => builder.init(),
+        LogForm::Json => builder.json().init(),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,278 @@
+//! The whole of what a script said, checked.
+
+use std::net::SocketAddr;
+
+use umbertray_routing::Settings;
+use umbertray_routing::settings::{Bounds, Further, Limit, OpType, Plan, Repeats, Rules, TypeRule, Volume};
+use umbertray_store_wire::store::Work;
+
+use crate::calls::{Arguments, Call};
+use crate::{Document, Problem};
+
+const WORKS: [(&str, Work); 6] = [
+    ("read", Work::Read),
+    ("write", Work::Write),
+    ("zero", Work::Zero),
+    ("trim", Work::Trim),
+    ("flush", Work::Flush),
+    ("status", Work::Status),
+];
+
+/// The longest span that any setting may name, seconds.
+const DAY: f64 = 86_400.0;
+const MOST: f64 = 1e12;
+
+pub(crate) fn work_name(work: Work) -> &'static str {
+    WORKS.iter().find(|(_, known)| *known == work).map_or("read", |(name, _)| name)
+}
+
+pub(crate) fn document(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
+    let mut problems = Vec::new();
+    let whole = |what: &str| Problem { file: file.into(), line: 0, column: 0, what: what.into() };
+    let of = |function: &str| calls.iter().filter(move |call| call.function == function).collect::<Vec<_>>();
+    let op_types: Vec<OpType> = of("op_type").into_iter().map(|call| op_type(call, &mut problems)).collect();
+    let plans: Vec<Plan> = of("plan").into_iter().map(|call| plan(call, &mut problems)).collect();
+    let names: Vec<&str> = op_types.iter().map(|op_type| op_type.name.as_str()).collect();
+    let type_rules: Vec<TypeRule> =
+        of("request").into_iter().map(|call| type_rule(call, &names, &mut problems)).collect();
+    let plan_names: Vec<&str> = plans.iter().map(|plan| plan.name.as_str()).collect();
+    let volumes: Vec<Volume> =
+        of("volume").into_iter().map(|call| volume(call, &plan_names, &mut problems)).collect();
+    unique(&of("op_type"), &names, &mut problems);
+    unique(&of("plan"), &plan_names, &mut problems);
+    let volume_names: Vec<&str> = volumes.iter().map(|volume| volume.name.as_str()).collect();
+    unique(&of("volume"), &volume_names, &mut problems);
+    for (function, count) in [("op_type", op_types.len()), ("plan", plans.len()), ("volume", volumes.len())] {
+        if count == 0 {
+            problems.push(whole(&format!("no {function} is named")));
+        }
+    }
+    // Each op type is one of a request's kinds; one that no rule names would be the last by chance only.
+    let ruled = |work: Work| type_rules.iter().any(|rule| rule.works.contains(&work) && rule.up_to.is_none());
+    for (name, work) in WORKS {
+        if !ruled(work) {
+            problems.push(whole(&format!("no request rule without up_to covers {name:?}")));
+        }
+    }
+    let empty = |function: &'static str| Call {
+        function,
+        first: serde_json::Value::Null,
+        named: Default::default(),
+        file: file.into(),
+        line: 0,
+        column: 0,
+    };
+    let mut single = |function: &'static str| {
+        let given = of(function);
+        for call in given.iter().skip(1) {
+            problems.push(call.problem("is called twice".into()));
+        }
+        given.first().copied().cloned().unwrap_or_else(|| empty(function))
+    };
+    let (gateway_call, rules_call, bounds_call) = (single("gateway"), single("rules"), single("bounds"));
+    let rules = rules(&rules_call, &mut problems);
+    let bounds = bounds(&bounds_call, &mut problems);
+    let (listen, list, seed, settings) =
+        gateway(&gateway_call, (op_types, type_rules, plans, volumes), (rules, bounds), &mut problems);
+    if problems.is_empty() { Ok(Document { listen, list, seed, settings }) } else { Err(problems) }
+}
+
+fn unique(calls: &[&Call], names: &[&str], problems: &mut Vec<Problem>) {
+    for (i, (call, name)) in calls.iter().zip(names).enumerate() {
+        if names[..i].contains(name) {
+            problems.push(call.problem(format!("the name {name:?} is taken")));
+        }
+    }
+}
+
+fn op_type(call: &Call, problems: &mut Vec<Problem>) -> OpType {
+    let mut args = Arguments::new(call, problems);
+    let name = args.first_text();
+    let target_latency = args.span("target_latency", 0.001..=DAY, None);
+    let op_timeout = args.span("op_timeout", 0.001..=DAY, None);
+    if op_timeout < target_latency {
+        args.problem(format!("op_timeout {op_timeout:?} is under target_latency {target_latency:?}"));
+    }
+    let utility = args.number("utility", 1e-6..=MOST, None);
+    let repeats = match args.text("repeats", Some("replayable")).as_str() {
+        "replayable" => Repeats::Replayable,
+        "deduplicated" => Repeats::Deduplicated(args.span("dedup_span", 0.001..=DAY, None)),
+        "once_only" => Repeats::OnceOnly,
+        other => {
+            args.problem(format!("repeats = {other:?} is none of replayable, deduplicated, once_only"));
+            Repeats::Replayable
+        }
+    };
+    if !matches!(repeats, Repeats::Deduplicated(_)) && args.optional("dedup_span", 0.0..=DAY).is_some() {
+        args.problem("dedup_span goes with repeats = \"deduplicated\" only".into());
+    }
+    let in_order = args.flag("in_order");
+    args.end();
+    OpType { name, target_latency, op_timeout, utility, repeats, in_order }
+}
+
+fn plan(call: &Call, problems: &mut Vec<Problem>) -> Plan {
+    let mut args = Arguments::new(call, problems);
+    let name = args.first_text();
+    let weight = args.number("weight", 1e-6..=MOST, Some(1.0));
+    let rate = args.number("rate", 1e-6..=MOST, None);
+    let reserve = args.number("reserve", 0.0..=MOST, Some(0.0));
+    if reserve > rate {
+        args.problem(format!("reserve {reserve} is over rate {rate}"));
+    }
+    let limit = args.optional("limit", 1e-6..=MOST);
+    let burst = args.optional("limit_burst", 1e-6..=MOST);
+    let slack = args.optional("limit_slack", 0.0..=MOST);
+    let limit = match limit {
+        Some(rate) => Some(Limit { rate, burst: burst.unwrap_or(rate), slack: slack.unwrap_or(rate / 10.0) }),
+        None => {
+            if burst.or(slack).is_some() {
+                args.problem("limit_burst and limit_slack go with limit only".into());
+            }
+            None
+        }
+    };
+    if let Some(limit) = limit.as_ref().filter(|limit| limit.rate < reserve) {
+        args.problem(format!("limit {} is under reserve {reserve}", limit.rate));
+    }
+    args.end();
+    Plan { name, weight, rate, reserve, limit }
+}
+
+fn type_rule(call: &Call, op_types: &[&str], problems: &mut Vec<Problem>) -> TypeRule {
+    let mut args = Arguments::new(call, problems);
+    let mut works = Vec::new();
+    for kind in args.first_texts() {
+        match WORKS.iter().find(|(name, _)| *name == kind) {
+            Some((_, work)) => works.push(*work),
+            None => {
+                let known = WORKS.map(|(name, _)| name).join(", ");
+                args.problem(format!("{kind:?} is none of {known}"));
+            }
+        }
+    }
+    let up_to = args.optional("up_to", 1.0..=f64::from(u32::MAX)).map(|most| most as u32);
+    let wanted = args.text("op_type", None);
+    let op_type = op_types.iter().position(|name| *name == wanted);
+    if op_type.is_none() {
+        args.problem(format!("there is no op type {wanted:?}"));
+    }
+    args.end();
+    TypeRule { works, up_to, op_type: op_type.unwrap_or(0) }
+}
+
+fn volume(call: &Call, plans: &[&str], problems: &mut Vec<Problem>) -> Volume {
+    let mut args = Arguments::new(call, problems);
+    let name = args.first_text();
+    let size = args.count("size", 512..=1 << 50, None);
+    if !size.is_multiple_of(512) {
+        args.problem(format!("size = {size} is not a multiple of 512"));
+    }
+    if name.len() > 255 {
+        args.problem("the name is longer than 255 bytes".into());
+    }
+    let wanted = args.text("plan", None);
+    let plan = plans.iter().position(|name| *name == wanted);
+    if plan.is_none() {
+        args.problem(format!("there is no plan {wanted:?}"));
+    }
+    let gateways = args.count("gateways", 1..=10_000, Some(1)) as u32;
+    args.end();
+    Volume { name, size, plan: plan.unwrap_or(0), gateways }
+}
+
+fn rules(call: &Call, problems: &mut Vec<Problem>) -> Rules {
+    let mut args = Arguments::new(call, problems);
+    let free = args.optional("further_free", 0.0..=MOST);
+    let share = args.optional("further_share", 0.0..=1e3);
+    let span = args.optional("further_span", 0.001..=DAY);
+    let further = match (free, share, span) {
+        (None, None, None) => None,
+        (Some(free), Some(share), Some(span)) => {
+            Some(Further { free, share, span: std::time::Duration::from_secs_f64(span) })
+        }
+        _ => {
+            args.problem("further_free, further_share and further_span go together".into());
+            None
+        }
+    };
+    let rules = Rules {
+        drain_grace: args.span("drain_grace", 0.0..=DAY, Some(1.0)),
+        cold_from: args.number("cold_from", 0.001..=1.0, Some(0.25)),
+        cold_time: args.span("cold_time", 0.0..=DAY, Some(10.0)),
+        cold_units: args.number("cold_units", 0.0..=MOST, Some(8.0)),
+        fall_multiple: args.number("fall_multiple", 1.0..=1e3, Some(2.0)),
+        fall_time: args.span("fall_time", 0.001..=DAY, Some(1.0)),
+        order_pause: args.span("order_pause", 0.0..=DAY, Some(0.5)),
+        ask_within: args.span("ask_within", 0.01..=DAY, Some(10.0)),
+        further,
+    };
+    args.end();
+    rules
+}
+
+fn bounds(call: &Call, problems: &mut Vec<Problem>) -> Bounds {
+    let mut args = Arguments::new(call, problems);
+    let bounds = Bounds {
+        sessions: args.count("sessions", 1..=1_000_000, Some(4096)) as usize,
+        requests_a_session: args.count("requests_a_session", 1..=65_536, Some(256)) as usize,
+        bytes: args.count("bytes", 1 << 16..=1 << 40, Some(256 << 20)) as usize,
+        bytes_a_session: args.count("bytes_a_session", 1 << 16..=1 << 40, Some(32 << 20)) as usize,
+        request_bytes: args.count("request_bytes", 4096..=32 << 20, Some(4 << 20)) as u32,
+        places: args.count("places", 1..=1 << 32, Some(1 << 20)) as usize,
+    };
+    // A request that its session's bound has no room for would wait for ever.
+    if bounds.request_bytes as usize > bounds.bytes_a_session || bounds.bytes_a_session > bounds.bytes {
+        let (one, session, all) = (bounds.request_bytes, bounds.bytes_a_session, bounds.bytes);
+        args.problem(format!(
+            "request_bytes {one}, bytes_a_session {session} and bytes {all} must not fall in this order"
+        ));
+    }
+    args.end();
+    bounds
+}
+
+type Named = (Vec<OpType>, Vec<TypeRule>, Vec<Plan>, Vec<Volume>);
+
+fn gateway(
+    call: &Call,
+    (op_types, type_rules, plans, volumes): Named,
+    (rules, bounds): (Rules, Bounds),
+    problems: &mut Vec<Problem>,
+) -> (Vec<SocketAddr>, SocketAddr, u64, Settings) {
+    let mut args = Arguments::new(call, problems);
+    let address = |args: &mut Arguments, name: &str, text: &str| {
+        text.parse().unwrap_or_else(|_| {
+            args.problem(format!("{name} = {text:?} is not an address and port"));
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        })
+    };
+    let listen = args.texts("listen");
+    let listen = listen.iter().map(|text| address(&mut args, "listen", text)).collect();
+    let list = args.text("list", None);
+    let list = address(&mut args, "list", &list);
+    let seed = args.count("seed", 0..=1 << 53, Some(0));
+    let extent_bytes = args.count("extent", 4096..=32 << 20, Some(1 << 20)) as u32;
+    if !extent_bytes.is_multiple_of(4096) {
+        args.problem(format!("extent = {extent_bytes} is not a multiple of 4096"));
+    }
+    let settings = Settings {
+        op_types,
+        type_rules,
+        plans,
+        volumes,
+        gateways: args.count("gateways", 1..=10_000, Some(1)) as u32,
+        extent_bytes,
+        unit_bytes: args.count("unit", 512..=32 << 20, Some(16 << 10)) as u32,
+        most_units: args.count("most_units", 1..=1 << 16, Some(8)) as u32,
+        mean_units: args.number("mean_units", 0.01..=65_536.0, Some(1.5)),
+        max_dispatches: args.count("max_dispatches", 1..=100, Some(3)) as u32,
+        max_retry_after: args.span("max_retry_after", 0.0..=DAY, Some(1.0)),
+        connect_timeout: args.span("connect_timeout", 0.001..=DAY, Some(0.25)),
+        tick: args.span("tick", 0.001..=1.0, Some(0.002)),
+        rules,
+        bounds,
+    };
+    args.end();
+    (listen, list, seed, settings)
+}
--- /dev/null
+++ b/crates/gateway/src/hub.rs
@@ -0,0 +1,168 @@
+//! The loop that hosts the core: one task, which alone touches it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+use umbertray_routing::{Core, Hold, Input, Output, Part, RequestId, SessionId, Settings, StoreId};
+use umbertray_store_wire::list::ToList;
+use umbertray_store_wire::store::ToStore;
+
+use crate::clock::Clock;
+use crate::{link, list};
+
+/// A part of a reply on its way to its session.
+pub struct ReplyPart {
+    pub tag: u64,
+    pub part: Part,
+    pub hold: Hold,
+}
+
+pub enum ToHub {
+    Attach(SessionId, mpsc::UnboundedSender<ReplyPart>),
+    Input(Input),
+    /// From the link of this generation to the store; what an earlier one still says is not heard.
+    Link(StoreId, u64, Input),
+}
+
+struct LinkEnd {
+    generation: u64,
+    /// Dropping it ends the link.
+    to_link: mpsc::UnboundedSender<(ToStore, Option<Hold>)>,
+}
+
+pub struct Hub {
+    core: Core,
+    clock: Clock,
+    settings: Arc<Settings>,
+    run: u64,
+    to_hub: mpsc::UnboundedSender<ToHub>,
+    to_list: mpsc::UnboundedSender<ToList>,
+    sessions: HashMap<SessionId, mpsc::UnboundedSender<ReplyPart>>,
+    links: HashMap<StoreId, LinkEnd>,
+    generation: u64,
+    wake_at: Duration,
+}
+
+/// So many messages are taken at a time; the module sees them as one moment.
+const TURN: usize = 128;
+
+impl Hub {
+    pub fn new(
+        core: Core,
+        clock: Clock,
+        settings: Arc<Settings>,
+        list_at: SocketAddr,
+        run: u64,
+        to_hub: mpsc::UnboundedSender<ToHub>,
+    ) -> Hub {
+        let (to_list, from_hub) = mpsc::unbounded_channel();
+        tokio::spawn(list::run(list_at, run, settings.connect_timeout, from_hub, to_hub.clone()));
+        Hub {
+            core,
+            clock,
+            settings,
+            run,
+            to_hub,
+            to_list,
+            sessions: HashMap::new(),
+            links: HashMap::new(),
+            generation: 0,
+            wake_at: clock.now(),
+        }
+    }
+
+    /// Runs until told to stop and all is answered, at most `grace` after that.
+    pub async fn run(
+        mut self,
+        mut from_all: mpsc::UnboundedReceiver<ToHub>,
+        mut stopping: watch::Receiver<bool>,
+        grace: Duration,
+    ) -> Result<(), String> {
+        let mut messages = Vec::with_capacity(TURN);
+        let mut end_at = None;
+        self.turn(Vec::new())?;
+        loop {
+            let wake_at = tokio::time::Instant::from_std(self.clock.instant(self.wake_at));
+            tokio::select! {
+                biased;
+                _ = stopping.wait_for(|stop| *stop), if end_at.is_none() => {
+                    end_at = Some(self.clock.now() + grace);
+                    tracing::info!(open = self.core.open(), sessions = self.sessions.len(), "stopping");
+                }
+                _ = from_all.recv_many(&mut messages, TURN) => {
+                    let inputs = messages.drain(..).filter_map(|message| self.heard(message)).collect();
+                    self.turn(inputs)?;
+                }
+                () = tokio::time::sleep_until(wake_at) => self.turn(vec![Input::Woken])?,
+            }
+            let over = |end: Duration| self.sessions.is_empty() || self.clock.now() >= end;
+            if end_at.is_some_and(over) {
+                return Ok(());
+            }
+        }
+    }
+
+    fn heard(&mut self, message: ToHub) -> Option<Input> {
+        match message {
+            ToHub::Attach(session, sender) => {
+                self.sessions.insert(session, sender);
+                None
+            }
+            ToHub::Input(input) => {
+                if let Input::Closed(session) = &input {
+                    self.sessions.remove(session);
+                }
+                Some(input)
+            }
+            ToHub::Link(store, generation, input) => {
+                self.links.get(&store).filter(|link| link.generation == generation)?;
+                if matches!(input, Input::NotLinked { .. } | Input::Unlinked { .. }) {
+                    self.links.remove(&store);
+                }
+                Some(input)
+            }
+        }
+    }
+
+    fn turn(&mut self, inputs: Vec<Input>) -> Result<(), String> {
+        let outputs = self.core.handle(self.clock.now(), inputs);
+        outputs.into_iter().try_for_each(|output| self.act(output))
+    }
+
+    fn act(&mut self, output: Output) -> Result<(), String> {
+        match output {
+            Output::Reply { id: RequestId(session, tag), part, hold } => {
+                if let Some(sender) = self.sessions.get(&session) {
+                    _ = sender.send(ReplyPart { tag, part, hold });
+                }
+            }
+            Output::Link { store, address } => {
+                self.generation += 1;
+                let (to_link, from_hub) = mpsc::unbounded_channel();
+                self.links.insert(store, LinkEnd { generation: self.generation, to_link });
+                let link = link::Link {
+                    store,
+                    generation: self.generation,
+                    run: self.run,
+                    connect_timeout: self.settings.connect_timeout,
+                    to_hub: self.to_hub.clone(),
+                };
+                tokio::spawn(link.run(address, from_hub));
+            }
+            Output::Unlink { store } => _ = self.links.remove(&store),
+            Output::Store { store, message, hold } => {
+                if let Some(link) = self.links.get(&store) {
+                    _ = link.to_link.send((message, hold));
+                }
+            }
+            Output::List(message) => _ = self.to_list.send(message),
+            Output::Wake(at) => self.wake_at = at,
+            Output::Log(text) => tracing::info!(text, "said"),
+            Output::Fatal(text) => return Err(text),
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,117 @@
+//! The running gateway: sockets, tasks and time around [`umbertray_routing::Core`]. It moves bytes and decides nothing.
+//!
+//! One task owns the core (`hub`), one each session (`session`), two each store link (`link`), one the connection to
+//! the list (`list`). They talk through channels; what a channel holds is bounded by the bytes that sessions were
+//! granted before their requests were read.
 
+mod budget;
+mod clock;
+mod hub;
+mod link;
+mod list;
+mod reply;
+mod session;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::task::JoinHandle;
+use umbertray_routing::{Core, Settings};
+
+pub use clock::Clock;
+
+/// Where a gateway listens and whom it asks.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where NBD clients connect; port 0 lets the system choose.
+    pub listen: Vec<SocketAddr>,
+    /// The list of stores and directory of extents.
+    pub list: SocketAddr,
+    /// Chance within the module; two gateways must not share one.
+    pub seed: u64,
+}
+
+/// A gateway at work. Dropping it ends its tasks at once, as a kill would.
+pub struct Running {
+    pub addresses: Vec<SocketAddr>,
+    stop: watch::Sender<bool>,
+    hub: JoinHandle<Result<(), String>>,
+    accepting: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Stops listening, refuses what is new, and returns when all that is open has its final answer, or when the
+    /// longest op timeout has passed.
+    pub async fn stop(mut self) -> Result<(), String> {
+        _ = self.stop.send(true);
+        self.accepting.drain(..).for_each(|task| task.abort());
+        self.ended().await
+    }
+
+    /// Returns when the gateway cannot go on.
+    pub async fn ended(&mut self) -> Result<(), String> {
+        (&mut self.hub).await.unwrap_or_else(|error| Err(format!("the hub ended: {error}")))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.accepting.iter().for_each(JoinHandle::abort);
+        self.hub.abort();
+    }
+}
+
+/// Starts a gateway on the present runtime.
+pub async fn start(settings: Arc<Settings>, options: Options) -> io::Result<Running> {
+    let clock = Clock::start();
+    let (to_hub, from_all) = mpsc::unbounded_channel();
+    let (stop, stopping) = watch::channel(false);
+    let core = Core::new(settings.clone(), options.seed, clock.now());
+    // A run's number is never used again, or a store would take its dispatches for those of the run before.
+    let run = clock.now().as_nanos() as u64 ^ options.seed.rotate_left(32);
+    let longest = settings.op_types.iter().map(|op_type| op_type.op_timeout).max().unwrap_or_default();
+    let hub = hub::Hub::new(core, clock, settings.clone(), options.list, run, to_hub.clone());
+    let shared = Arc::new(session::Shared {
+        exports: session::Volumes::new(&settings),
+        budget: budget::Budget::new(&settings.bounds),
+        settings: settings.clone(),
+        clock,
+        to_hub,
+        stopping: stopping.clone(),
+        patience: longest,
+    });
+    let places = Arc::new(Semaphore::new(settings.bounds.sessions));
+    let (mut addresses, mut accepting) = (Vec::new(), Vec::new());
+    for address in options.listen {
+        let listener = TcpListener::bind(address).await?;
+        addresses.push(listener.local_addr()?);
+        accepting.push(tokio::spawn(accept(listener, shared.clone(), places.clone())));
+    }
+    drop(shared);
+    let hub = tokio::spawn(hub.run(from_all, stopping, longest));
+    Ok(Running { addresses, stop, hub, accepting })
+}
+
+/// At the bound on sessions nothing is accepted; clients wait in the system's backlog.
+async fn accept(listener: TcpListener, shared: Arc<session::Shared>, places: Arc<Semaphore>) {
+    while let Ok(place) = places.clone().acquire_owned().await {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    session::run(shared, stream, peer).await;
+                    drop(place);
+                });
+            }
+            // Out of descriptors or memory, most likely: trying at once would spin.
+            Err(error) => {
+                tracing::warn!(%error, "no session accepted");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
--- a/crates/nbd/src/server.rs
+++ b/crates/nbd/src/server.rs
@@ -35,6 +35,11 @@
     More,
     /// Negotiation has ended in this export; requests follow.
     Attached(Export),
+    /// A request's header has come; it will hold so many bytes, a write's payload or a read's data. Call again when
+    /// there is room for them.
+    Pending {
+        bytes: u32,
+    },
     Request(Request),
     /// A request that cannot be served; its error reply is already in the output.
     Refused {
@@ -107,13 +112,6 @@
         self.shutting_down = true;
     }
 
-    /// What the request whose header has come will hold: a write's payload or a read's data, in bytes.
-    pub fn pending_bytes(&self) -> Option<u32> {
-        let header = self.header.as_ref()?;
-        let command = Command::from_number(header.command);
-        Some(if matches!(command, Some(Command::Write | Command::Read)) { header.length } else { 0 })
-    }
-
     /// Takes the next whole message off `input`.
     pub fn receive(&mut self, input: &mut BytesMut, exports: &dyn Exports) -> Result<Step, Fault> {
         loop {
@@ -324,7 +322,11 @@
                 return Err(Fault::LongPayload { length: header.length, bound });
             }
             input.advance(REQUEST_HEADER);
+            let command = Command::from_number(header.command);
+            let holds = matches!(command, Some(Command::Write | Command::Read));
+            let bytes = if holds { header.length.min(bound) } else { 0 };
             self.header = Some(header);
+            return Ok(Step::Pending { bytes });
         }
         let Some(header) = &self.header else { return Ok(Step::More) };
         let payload = if header.command == Command::Write.number() { header.length as usize } else { 0 };
--- /dev/null
+++ b/crates/routing/src/core.rs
@@ -0,0 +1,691 @@
+//! The hub: one module, one record an open request, one a piece, one a dispatch out.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use umbertray::choice::Gateway;
+use umbertray::interface::{
+    Action, Answer, Event, ListNews, Op, OpId, Outcome, Report, StoreId, StoreState, VolumeId,
+};
+use umbertray_store_wire::list::{Entry, FromList, ToList};
+use umbertray_store_wire::store::{self, Code, Dispatch, FromStore, Stretch, ToStore, Work};
+use umbertray_store_wire::volume_id;
+
+use crate::fence::Reading;
+use crate::members::{Link, Members};
+use crate::piece::{OpenRequest, Piece, Sent, Stage, Way};
+use crate::places::{Asked, Places};
+use crate::settings::Settings;
+use crate::split::cuts;
+use crate::timers::{Timer, Timers};
+use crate::verdict::{PieceEnd, Verdict, whole};
+use crate::{Input, Output, Part, Request, RequestId, SessionId};
+
+/// A piece that has no place yet is answered so many ticks before its client's time is up: one for this gateway's
+/// timer, one for the reply to be written, one for it to be read, one to spare.
+const ANSWER_TICKS: u32 = 4;
+
+pub struct Core {
+    settings: Arc<Settings>,
+    /// Lasting ids of the volumes, by index.
+    volumes: Vec<u64>,
+    module: Gateway,
+    now: Duration,
+    members: Members,
+    places: Places,
+    requests: BTreeMap<RequestId, OpenRequest>,
+    pieces: HashMap<u32, Piece>,
+    sent: HashMap<u64, Sent>,
+    timers: Timers,
+    next_op: u32,
+    next_mark: u64,
+    next_number: u64,
+    events: Vec<Event>,
+    out: Vec<Output>,
+}
+
+/// What a store said with an outcome; nothing where the outcome is the gateway's own finding.
+#[derive(Default)]
+struct Said {
+    used: Option<f64>,
+    elsewhere: f64,
+    report: Report,
+}
+
+impl Core {
+    /// A core at its start; `now` is on a clock whose zero lies far enough back for any store's start.
+    pub fn new(settings: Arc<Settings>, seed: u64, now: Duration) -> Core {
+        let start = Event::Start { seed, settings: settings.for_module() };
+        Core {
+            volumes: settings.volumes.iter().map(|volume| volume_id(&volume.name)).collect(),
+            module: Gateway::default(),
+            now,
+            members: Members::default(),
+            places: Places::new(settings.bounds.places),
+            requests: BTreeMap::new(),
+            pieces: HashMap::new(),
+            sent: HashMap::new(),
+            timers: Timers::default(),
+            next_op: 0,
+            next_mark: 0,
+            next_number: 0,
+            events: vec![start],
+            out: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Requests without their final answer.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes what happened at `now` and returns what is to be done, in order.
+    pub fn handle(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
+        self.now = now.max(self.now);
+        inputs.into_iter().for_each(|input| self.take(input));
+        while let Some(timer) = self.timers.due(self.now) {
+            self.ring(timer);
+        }
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            let actions = self.module.handle(self.now, events);
+            actions.into_iter().for_each(|action| self.act(action));
+        }
+        if let Some(at) = self.timers.wake() {
+            self.out.push(Output::Wake(at));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Request(request) => self.request(request),
+            Input::Closed(session) => self.closed(session),
+            Input::Linked { store, lasting, shard, clock } => self.linked(store, lasting, shard, clock),
+            Input::NotLinked { store } | Input::Unlinked { store } => self.unlinked(store),
+            Input::Store { store, message } => self.store_said(store, message),
+            Input::List(message) => self.list_said(message),
+            Input::ListLost => {
+                self.events.push(Event::List(ListNews::Failed));
+                self.ask_later();
+            }
+            Input::Woken => self.timers.woken(),
+        }
+    }
+
+    fn ring(&mut self, timer: Timer) {
+        match timer {
+            Timer::Module(token) => self.events.push(Event::Timer { token }),
+            Timer::Dispatch(number) => {
+                // What was never sent has surely not run; what was may still run, but not past its fence.
+                let unsent = self.sent.get(&number).is_none_or(|sent| sent.way != Way::Out);
+                let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::TimedOut };
+                self.ended(number, outcome, Said::default());
+            }
+            Timer::Piece(op) => match self.pieces.get(&op).map(|piece| piece.stage) {
+                // The directory has not said where the data lies. Nothing was sent: trying again does no harm.
+                Some(Stage::Placing) => self.settle(op, Verdict::Throttled { retry_after: Duration::ZERO }),
+                Some(Stage::Answered(_)) => self.close(op),
+                _ => {}
+            },
+            Timer::AskAgain => {
+                let questions = self.places.again();
+                questions.into_iter().for_each(|question| self.ask(question));
+            }
+            Timer::Forget => {
+                for store in self.members.forget(self.now.saturating_sub(self.memory_of_gone())) {
+                    self.out.push(Output::Unlink { store });
+                }
+            }
+        }
+    }
+
+    // Requests.
+
+    fn request(&mut self, request: Request) {
+        let op_type = self.settings.op_type(request.work, request.length);
+        let ends = request.begun + self.settings.op_types[op_type].op_timeout;
+        let open = OpenRequest {
+            volume: request.volume,
+            work: request.work,
+            op_type,
+            durable: request.durable,
+            ends,
+            hold: request.hold.clone(),
+            open: 0,
+            ops: Vec::new(),
+            pieces: Vec::new(),
+            stretches: BTreeMap::new(),
+        };
+        self.requests.insert(request.id, open);
+        if request.work == Work::Flush {
+            let cut = crate::split::Cut { extent: 0, offset: 0, length: 0 };
+            let op = self.piece(request.id, cut, Bytes::new());
+            let question = self.places.shards(self.volumes[request.volume], op);
+            return self.place_later(op, question);
+        }
+        let mut data = request.data;
+        for cut in cuts(request.offset, request.length, self.settings.extent_bytes) {
+            let part = data.split_to(if request.work == Work::Write { cut.length as usize } else { 0 });
+            let op = self.piece(request.id, cut, part);
+            let extent = (self.volumes[request.volume], cut.extent);
+            match self.places.shard(extent) {
+                Some(shard) => self.arrive(op, Some(shard)),
+                None => {
+                    let question = self.places.look_up(extent, op);
+                    self.place_later(op, question);
+                }
+            }
+        }
+    }
+
+    fn piece(&mut self, id: RequestId, cut: crate::split::Cut, data: Bytes) -> u32 {
+        while self.pieces.contains_key(&self.next_op) {
+            self.next_op = self.next_op.wrapping_add(1);
+        }
+        let op = self.next_op;
+        self.next_op = op.wrapping_add(1);
+        self.next_mark += 1;
+        let request = self.requests.get_mut(&id).expect("a piece's request is open");
+        request.open += 1;
+        request.ops.push(op);
+        let piece = Piece {
+            request: id,
+            mark: self.next_mark,
+            volume: request.volume,
+            work: request.work,
+            cut,
+            op_type: request.op_type,
+            shard: None,
+            data,
+            durable: request.durable,
+            ends: request.ends,
+            stage: Stage::Placing,
+            delivered: 0,
+            dispatches: Vec::new(),
+            unsettled: Vec::new(),
+            out: 0,
+            may_have_run: false,
+        };
+        self.pieces.insert(op, piece);
+        op
+    }
+
+    fn place_later(&mut self, op: u32, question: Option<ToList>) {
+        let due = self.pieces[&op].ends.saturating_sub(self.settings.tick * ANSWER_TICKS);
+        self.timers.set(due, Timer::Piece(op));
+        question.into_iter().for_each(|question| self.ask(question));
+    }
+
+    /// Hands a piece to the module as an op; without a shard it is a new object.
+    fn arrive(&mut self, op: u32, shard: Option<u32>) {
+        let Some(piece) = self.pieces.get_mut(&op).filter(|piece| piece.stage == Stage::Placing) else {
+            return;
+        };
+        (piece.stage, piece.shard) = (Stage::Deciding, shard);
+        self.timers.unset(piece.ends.saturating_sub(self.settings.tick * ANSWER_TICKS), Timer::Piece(op));
+        let (volume, name) = (&self.settings.volumes[piece.volume], self.volumes[piece.volume]);
+        self.events.push(Event::Arrived(Op {
+            id: OpId(op),
+            units: self.settings.units(piece.cut.length),
+            volume: VolumeId(piece.volume as u32),
+            volume_name: name,
+            key: (piece.work != Work::Flush).then(|| key(name, piece.cut.extent)),
+            shard,
+            left: piece.ends.saturating_sub(self.now),
+            plan: volume.plan,
+            op_type: piece.op_type,
+            gateways: f64::from(volume.gateways),
+        }));
+    }
+
+    fn closed(&mut self, session: SessionId) {
+        let all = RequestId(session, 0)..=RequestId(session, u64::MAX);
+        let ids: Vec<RequestId> = self.requests.range(all).map(|(id, _)| *id).collect();
+        for id in ids {
+            let Some(request) = self.requests.remove(&id) else { continue };
+            for op in request.ops {
+                let Some(piece) = self.pieces.get_mut(&op) else { continue };
+                if piece.stage == Stage::Deciding {
+                    self.events.push(Event::ClientLeft { op: OpId(op) });
+                }
+                piece.data = Bytes::new();
+                piece.stage = Stage::Over;
+                self.drop_if_over(op);
+            }
+        }
+        let pieces = &self.pieces;
+        self.places.give_up(|asked| match asked {
+            Asked::Lookup(_, ops) => {
+                ops.retain(|op| pieces.contains_key(op));
+                ops.is_empty()
+            }
+            Asked::Shards(_, op) => !pieces.contains_key(op),
+            // A claim may have won: its answer is worth knowing.
+            Asked::Claim(..) => false,
+        });
+    }
+
+    // Final answers.
+
+    /// A piece has its final answer; it goes out once nothing of the piece can undo what comes after it.
+    fn settle(&mut self, op: u32, verdict: Verdict) {
+        let Some(piece) = self.pieces.get_mut(&op) else { return };
+        if !matches!(piece.stage, Stage::Placing | Stage::Deciding) {
+            return;
+        }
+        piece.stage = Stage::Answered(verdict);
+        // Danger: a write given up while a dispatch of it may still run. Once told, the client writes anew, perhaps
+        // through another gateway, and the late one would undo that. Its answer waits until the fence in time has
+        // passed, which is before the client's own time is up. An acked write's earlier dispatches were voided
+        // by the one that was acked.
+        let out = piece.dispatches.iter().filter_map(|number| self.sent.get(number));
+        let out = out.filter(|sent| sent.way == Way::Out).map(|sent| sent.ends).max();
+        let fenced = piece.may_run_until().max(out).filter(|at| *at > self.now);
+        match fenced.filter(|_| piece.work.writes() && verdict != Verdict::Acked) {
+            Some(at) => self.timers.set(at, Timer::Piece(op)),
+            None => self.close(op),
+        }
+    }
+
+    fn close(&mut self, op: u32) {
+        let Some(piece) = self.pieces.get_mut(&op) else { return };
+        let Stage::Answered(verdict) = piece.stage else { return };
+        piece.stage = Stage::Over;
+        piece.data = Bytes::new();
+        let (id, end) = (piece.request, PieceEnd { verdict, may_have_run: piece.may_have_run });
+        self.drop_if_over(op);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.open -= 1;
+        request.pieces.push(end);
+        if request.open > 0 {
+            return;
+        }
+        let Some(request) = self.requests.remove(&id) else { return };
+        let repeats = self.settings.op_types[request.op_type].repeats;
+        let verdict = whole(request.pieces.iter().copied(), repeats);
+        if verdict == Verdict::Acked && request.work == Work::Status {
+            let stretches = request.stretches.into_values().flatten().collect();
+            self.out.push(Output::Reply { id, part: Part::Status(stretches), hold: request.hold.clone() });
+        }
+        self.out.push(Output::Reply { id, part: Part::Final(verdict), hold: request.hold });
+    }
+
+    fn drop_if_over(&mut self, op: u32) {
+        if self.pieces.get(&op).is_some_and(|piece| piece.stage == Stage::Over && piece.out == 0) {
+            self.pieces.remove(&op);
+        }
+    }
+
+    fn reply(&mut self, id: RequestId, part: Part) {
+        if let Some(request) = self.requests.get(&id) {
+            self.out.push(Output::Reply { id, part, hold: request.hold.clone() });
+        }
+    }
+
+    // The module's actions.
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Dispatch { op, store, timeout } => self.dispatch(op.0, store, timeout),
+            Action::Throttle { op, retry_after } => self.settle(op.0, Verdict::Throttled { retry_after }),
+            Action::Abort { op } => self.settle(op.0, Verdict::Aborted),
+            Action::Cancel { op, dispatch } => self.cancel(op.0, dispatch),
+            Action::Timer { token, at } => self.timers.set(at, Timer::Module(token)),
+            Action::Subscribe => self.ask(ToList::Subscribe),
+            Action::FetchList => self.ask(ToList::Fetch),
+            Action::Probe { store } => {
+                let message = ToStore::Probe { token: self.now.as_micros() as u64 };
+                self.out.push(Output::Store { store, message, hold: None });
+            }
+            Action::Log(text) => self.out.push(Output::Log(text)),
+            Action::Fatal(text) => self.out.push(Output::Fatal(text)),
+        }
+    }
+
+    fn dispatch(&mut self, op: u32, store: StoreId, timeout: Duration) {
+        let Some(piece) = self.pieces.get_mut(&op) else { return };
+        self.next_number += 1;
+        let (number, index) = (self.next_number, piece.dispatches.len() as u32);
+        let ends = self.now + timeout;
+        piece.dispatches.push(number);
+        piece.out += 1;
+        self.sent.insert(number, Sent { op, index, store, at: self.now, ends, way: Way::Claiming });
+        self.timers.set(ends, Timer::Dispatch(number));
+        let new = piece.shard.is_none().then_some((self.volumes[piece.volume], piece.cut.extent));
+        match new.zip(self.members.get(store).map(|member| member.shard)) {
+            Some((extent, shard)) => {
+                let question = self.places.claim(extent, shard, number);
+                question.into_iter().for_each(|question| self.ask(question));
+            }
+            None => self.send(number),
+        }
+    }
+
+    /// Sends a dispatch, or lets it wait for its link.
+    fn send(&mut self, number: u64) {
+        let Some(sent) = self.sent.get_mut(&number) else { return };
+        let (store, op, ends) = (sent.store, sent.op, sent.ends);
+        let deciding = |piece: &&mut Piece| piece.stage == Stage::Deciding;
+        let member = self.members.get_mut(store).filter(|member| member.state == StoreState::Ready);
+        // Danger: it was decided before it waited. A store that drains by now gets nothing new, nor does an op that
+        // has had its final answer.
+        let (Some(member), Some(piece)) = (member, self.pieces.get_mut(&op).filter(deciding)) else {
+            return self.ended(number, Outcome::ConnectFailed, Said::default());
+        };
+        match &mut member.link {
+            Link::Down => {
+                sent.way = Way::Linking;
+                member.link = Link::Making(vec![number]);
+                self.out.push(Output::Link { store, address: member.address });
+            }
+            Link::Making(waiting) => {
+                sent.way = Way::Linking;
+                waiting.push(number);
+            }
+            Link::Up(reading) => {
+                sent.way = Way::Out;
+                let message = ToStore::Dispatch(Dispatch {
+                    number,
+                    op: piece.mark,
+                    volume: self.volumes[piece.volume],
+                    extent: piece.cut.extent,
+                    work: piece.work,
+                    offset: piece.cut.offset + piece.delivered,
+                    length: piece.cut.length - piece.delivered,
+                    units: self.settings.units(piece.cut.length),
+                    not_after: reading.not_after(ends),
+                    voids: piece.unsettled.iter().map(|(number, _)| *number).collect(),
+                    durable: piece.durable,
+                    data: piece.data.clone(),
+                });
+                let hold = self.requests.get(&piece.request).map(|request| request.hold.clone());
+                self.out.push(Output::Store { store, message, hold });
+            }
+        }
+    }
+
+    fn cancel(&mut self, op: u32, dispatch: u32) {
+        let number = self.pieces.get(&op).and_then(|piece| piece.dispatches.get(dispatch as usize)).copied();
+        let Some((number, sent)) = number.and_then(|n| Some((n, self.sent.get(&n)?))) else { return };
+        if sent.way == Way::Out {
+            let message = ToStore::Cancel { number };
+            self.out.push(Output::Store { store: sent.store, message, hold: None });
+        } else {
+            self.ended(number, Outcome::ConnectFailed, Said::default());
+        }
+    }
+
+    // Stores.
+
+    fn linked(&mut self, store: StoreId, lasting: u64, shard: u32, clock: u64) {
+        let Some(member) = self.members.get_mut(store) else {
+            return self.out.push(Output::Unlink { store });
+        };
+        // Another process listens there by now: the list is behind.
+        if member.lasting != lasting || member.shard != shard {
+            self.out.push(Output::Unlink { store });
+            self.out
+                .push(Output::Log(format!("store {lasting} of shard {shard} answers at {}", member.address)));
+            return self.unlinked(store);
+        }
+        let link = std::mem::replace(&mut member.link, Link::Up(Reading { clock, at: self.now }));
+        if let Link::Making(waiting) = link {
+            waiting.into_iter().for_each(|number| self.send(number));
+        }
+    }
+
+    /// No link stands: what was out may have run, what waited was never sent.
+    fn unlinked(&mut self, store: StoreId) {
+        if let Some(member) = self.members.get_mut(store) {
+            member.link = Link::Down;
+        }
+        let there = self.sent.iter().filter(|(_, sent)| sent.store == store && sent.way != Way::Claiming);
+        let mut lost: Vec<(u64, Way)> = there.map(|(number, sent)| (*number, sent.way)).collect();
+        lost.sort_unstable_by_key(|(number, _)| *number);
+        for (number, way) in lost {
+            let outcome = if way == Way::Out { Outcome::Reset } else { Outcome::ConnectFailed };
+            self.ended(number, outcome, Said::default());
+        }
+    }
+
+    fn store_said(&mut self, store: StoreId, message: FromStore) {
+        match message {
+            FromStore::Welcome { .. } => {}
+            FromStore::Data { number, offset, data } => {
+                let length = data.len() as u32;
+                self.read_part(store, number, offset, length, |offset| Part::Data { offset, data });
+            }
+            FromStore::Hole { number, offset, length } => {
+                self.read_part(store, number, offset, length, |offset| Part::Hole { offset, length });
+            }
+            FromStore::Answer(answer) => self.answered(store, answer),
+            // A link's own sign of life: it tells the time.
+            FromStore::Probed { token: 0, clock, .. } => self.read_clock(store, clock),
+            FromStore::Probed { clock, report, .. } => {
+                self.read_clock(store, clock);
+                self.events.push(Event::Probed { store, outcome: Outcome::Acked, report });
+            }
+        }
+    }
+
+    fn read_clock(&mut self, store: StoreId, clock: u64) {
+        if let Some(Link::Up(reading)) = self.members.get_mut(store).map(|member| &mut member.link) {
+            *reading = Reading { clock, at: self.now };
+        }
+    }
+
+    /// Read data goes to the client as it comes; after a store's death the next one is asked for the rest only.
+    fn read_part(
+        &mut self,
+        store: StoreId,
+        number: u64,
+        offset: u32,
+        length: u32,
+        part: impl FnOnce(u64) -> Part,
+    ) {
+        let Some(sent) = self.sent.get(&number).filter(|sent| sent.store == store) else { return };
+        let Some(piece) = self.pieces.get_mut(&sent.op).filter(|piece| piece.stage == Stage::Deciding) else {
+            return;
+        };
+        let left = piece.cut.length - piece.delivered;
+        if piece.work != Work::Read || offset != piece.cut.offset + piece.delivered || length > left {
+            self.out.push(Output::Log(format!("dispatch {number}: data at {offset} that was not asked for")));
+            self.out.push(Output::Unlink { store });
+            return self.unlinked(store);
+        }
+        piece.delivered += length;
+        let id = piece.request;
+        let at = piece.cut.extent * u64::from(self.settings.extent_bytes) + u64::from(offset);
+        self.reply(id, part(at));
+    }
+
+    fn answered(&mut self, store: StoreId, answer: store::Answer) {
+        self.read_clock(store, answer.clock);
+        // An answer after the dispatch was given up finds no record and is swallowed.
+        let Some(sent) = self.sent.get(&answer.number).filter(|sent| sent.store == store) else { return };
+        let Some(piece) = self.pieces.get_mut(&sent.op) else { return };
+        let (work, id, at) = (piece.work, piece.request, (piece.cut.extent, piece.cut.offset));
+        let whole = match piece.work {
+            Work::Read => piece.delivered == piece.cut.length || piece.stage != Stage::Deciding,
+            Work::Status => {
+                answer.stretches.iter().map(|s| u64::from(s.length)).sum::<u64>()
+                    == u64::from(piece.cut.length)
+            }
+            _ => true,
+        };
+        let outcome = match answer.code {
+            Ok(Code::Acked) if whole => Outcome::Acked,
+            Ok(Code::Acked | Code::Error) => Outcome::Error,
+            Ok(Code::Full) => Outcome::Full,
+            Ok(Code::Fenced) => Outcome::Moot,
+            Ok(Code::Cancelled) => Outcome::Cancelled,
+            Ok(Code::Elsewhere) => {
+                self.places.doubt((self.volumes[piece.volume], piece.cut.extent));
+                Outcome::Moot
+            }
+            Err(_) => Outcome::Unknown,
+        };
+        if outcome == Outcome::Acked && work == Work::Status {
+            self.stretches(id, at, answer.stretches);
+        }
+        let said = Said { used: answer.used, elsewhere: answer.elsewhere, report: answer.report };
+        self.ended(answer.number, outcome, said);
+    }
+
+    fn stretches(&mut self, id: RequestId, (extent, offset): (u64, u32), stretches: Vec<Stretch>) {
+        let at = extent * u64::from(self.settings.extent_bytes) + u64::from(offset);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.stretches.insert(at, stretches);
+        }
+    }
+
+    /// A dispatch has its outcome, which the module is told once and truthfully.
+    fn ended(&mut self, number: u64, outcome: Outcome, said: Said) {
+        let Some(sent) = self.sent.remove(&number) else { return };
+        self.timers.unset(sent.ends, Timer::Dispatch(number));
+        let Some(piece) = self.pieces.get_mut(&sent.op) else { return };
+        piece.out -= 1;
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        piece.may_have_run |= !never_ran;
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::Unknown) {
+            piece.unsettled.push((number, sent.ends));
+        }
+        if outcome == Outcome::Acked {
+            self.settle(sent.op, Verdict::Acked);
+        }
+        let ended = self.pieces.get(&sent.op).is_none_or(|piece| piece.stage != Stage::Deciding);
+        self.events.push(Event::Answered(Answer {
+            op: OpId(sent.op),
+            dispatch: sent.index,
+            store: sent.store,
+            outcome,
+            latency: self.now.saturating_sub(sent.at),
+            ended,
+            used: said.used,
+            elsewhere: said.elsewhere,
+            report: said.report,
+        }));
+        self.drop_if_over(sent.op);
+    }
+
+    // The list and the directory.
+
+    fn ask(&mut self, question: ToList) {
+        self.out.push(Output::List(question));
+    }
+
+    fn ask_later(&mut self) {
+        if self.places.waits() {
+            self.timers.set(self.now + self.settings.connect_timeout, Timer::AskAgain);
+        }
+    }
+
+    fn list_said(&mut self, message: FromList) {
+        match message {
+            FromList::Welcome => {}
+            FromList::Full(entries) => self.listed(&entries, true),
+            FromList::Changes(entries) => self.listed(&entries, false),
+            FromList::Failed => {
+                self.events.push(Event::List(ListNews::Failed));
+                self.ask_later();
+            }
+            FromList::Place { token, shard } => match self.places.answered(token) {
+                Some(Asked::Lookup(extent, ops)) => {
+                    shard.into_iter().for_each(|shard| self.places.learn(extent, shard));
+                    ops.into_iter().for_each(|op| self.placed(op, shard));
+                }
+                Some(Asked::Claim(extent, wanted, number)) => self.claimed(extent, wanted, number, shard),
+                Some(Asked::Shards(..)) | None => {}
+            },
+            FromList::Shards { token, shards } => {
+                if let Some(Asked::Shards(_, op)) = self.places.answered(token) {
+                    self.flush_at(op, &shards);
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, entries: &[Entry], whole: bool) {
+        let listings: Vec<_> = entries.iter().map(|entry| self.members.listed(self.now, entry)).collect();
+        if whole {
+            self.members.unnamed(self.now, &listings);
+        }
+        for listing in &listings {
+            let member = self.members.get_mut(listing.store).expect("a listed store is known");
+            // A link made ahead saves the first op its time.
+            if listing.state == StoreState::Ready && matches!(member.link, Link::Down) {
+                member.link = Link::Making(Vec::new());
+                self.out.push(Output::Link { store: listing.store, address: member.address });
+            }
+        }
+        self.timers.set(self.now + self.memory_of_gone() + self.settings.tick, Timer::Forget);
+        let news = if whole { ListNews::Full(listings) } else { ListNews::Changes(listings) };
+        self.events.push(Event::List(news));
+    }
+
+    /// What a store gone was sent counts against its next start, and a dispatch to it may still be out.
+    fn memory_of_gone(&self) -> Duration {
+        let longest = self.settings.op_types.iter().map(|op_type| op_type.op_timeout).max();
+        2 * (self.settings.rules.cold_time + self.settings.rules.fall_time) + longest.unwrap_or_default()
+    }
+
+    /// The directory has said where a piece's extent lies, if anywhere.
+    fn placed(&mut self, op: u32, shard: Option<u32>) {
+        let Some(piece) = self.pieces.get(&op).filter(|piece| piece.stage == Stage::Placing) else { return };
+        let (id, cut) = (piece.request, piece.cut);
+        let offset = cut.extent * u64::from(self.settings.extent_bytes) + u64::from(cut.offset);
+        match (shard, piece.work) {
+            // Nothing was ever written there: no store is needed to say so.
+            (None, Work::Read) => self.reply(id, Part::Hole { offset, length: cut.length }),
+            (None, Work::Status) => {
+                let hole = Stretch { length: cut.length, data: false };
+                self.stretches(id, (cut.extent, cut.offset), vec![hole]);
+            }
+            (None, Work::Trim) => {}
+            (shard, _) => return self.arrive(op, shard),
+        }
+        self.settle(op, Verdict::Acked);
+    }
+
+    /// The extent lies where this gateway's first write was to go, or another's claim was first.
+    fn claimed(&mut self, extent: (u64, u64), wanted: u32, number: u64, shard: Option<u32>) {
+        let Some(shard) = shard else {
+            return self.ended(number, Outcome::ConnectFailed, Said::default());
+        };
+        self.places.learn(extent, shard);
+        let Some(sent) = self.sent.get(&number) else { return };
+        let op = sent.op;
+        if let Some(piece) = self.pieces.get_mut(&op) {
+            piece.shard = Some(shard);
+        }
+        self.events.push(Event::Placed { op: OpId(op), shard });
+        if shard == wanted {
+            self.send(number);
+        } else {
+            self.ended(number, Outcome::Moot, Said::default());
+        }
+    }
+
+    /// A flush is one op at each shard that holds extents of the volume, whoever wrote them.
+    fn flush_at(&mut self, op: u32, shards: &[u32]) {
+        let Some(id) = self.pieces.get(&op).filter(|p| p.stage == Stage::Placing).map(|p| p.request) else {
+            return;
+        };
+        let Some((first, rest)) = shards.split_first() else { return self.settle(op, Verdict::Acked) };
+        self.arrive(op, Some(*first));
+        for shard in rest {
+            let cut = self.pieces[&op].cut;
+            let other = self.piece(id, cut, Bytes::new());
+            self.arrive(other, Some(*shard));
+        }
+    }
+}
+
+/// The same at every gateway.
+fn key(volume: u64, extent: u64) -> u64 {
+    (volume ^ extent).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(31) ^ extent
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,138 @@
+//! From requests to ops and back, free of I/O, clock and chance: plain data in, plain data out.
+//!
+//! [`Core`] hosts one decision module. It splits a request at extent borders into pieces, finds where each lies,
+//! hands each to the module as an op, carries the module's actions to the stores and the stores' answers back, and
+//! gives every request its one final answer. It decides nothing that the module decides; what it must decide itself
+//! (fences, places, when an answer may go out) stands in modules of its own: `fence`, `places`, `verdict`.
 
+mod core;
+mod fence;
+mod members;
+mod piece;
+mod places;
+pub mod settings;
+mod split;
+mod timers;
+mod verdict;
+
+use std::any::Any;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use umbertray_store_wire::list::{FromList, ToList};
+use umbertray_store_wire::store::{FromStore, Stretch, ToStore, Work};
+
+pub use self::core::Core;
+pub use settings::Settings;
+pub use umbertray::interface::StoreId;
+pub use verdict::Verdict;
+
+/// A client's session at this gateway; never used twice in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
+
+/// A request: its session and the client's own mark, unique among the session's open ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub SessionId, pub u64);
+
+/// Kept for as long as anything of a request is: whoever counts the bytes held learns of the end by its drop.
+pub type Hold = Arc<dyn Any + Send + Sync>;
+
+/// What a client asks of a volume.
+#[derive(Clone)]
+pub struct Request {
+    pub id: RequestId,
+    /// Index of the volume in the settings.
+    pub volume: usize,
+    pub work: Work,
+    /// Bytes from the volume's start; the range lies within the volume.
+    pub offset: u64,
+    pub length: u32,
+    /// Safe on the stores' medium before the answer.
+    pub durable: bool,
+    /// A write's data.
+    pub data: Bytes,
+    /// When its first byte was read: the client's time counts from here.
+    pub begun: Duration,
+    pub hold: Hold,
+}
+
+/// What happened.
+pub enum Input {
+    Request(Request),
+    /// The client is gone: nobody waits for its answers.
+    Closed(SessionId),
+    /// A connection to the store stands, and the store has said who it is.
+    Linked {
+        store: StoreId,
+        lasting: u64,
+        shard: u32,
+        clock: u64,
+    },
+    /// No connection to the store could be made; nothing was sent.
+    NotLinked {
+        store: StoreId,
+    },
+    /// The connection broke; what was out on it may have run.
+    Unlinked {
+        store: StoreId,
+    },
+    Store {
+        store: StoreId,
+        message: FromStore,
+    },
+    List(FromList),
+    /// The connection to the list broke or could not be made.
+    ListLost,
+    /// The time asked for by the last [`Output::Wake`] has come.
+    Woken,
+}
+
+/// A part of a request's reply.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// Read data; offsets are bytes from the volume's start. Parts of a reply never overlap.
+    Data {
+        offset: u64,
+        data: Bytes,
+    },
+    Hole {
+        offset: u64,
+        length: u32,
+    },
+    /// The whole range asked about, in order.
+    Status(Vec<Stretch>),
+    /// The one final answer; nothing follows it.
+    Final(Verdict),
+}
+
+/// What is to be done, in order.
+pub enum Output {
+    Reply {
+        id: RequestId,
+        part: Part,
+        hold: Hold,
+    },
+    /// Connect to a store; say `Linked` or `NotLinked`.
+    Link {
+        store: StoreId,
+        address: SocketAddr,
+    },
+    /// Close the connection to a store, if one stands; nothing need be said.
+    Unlink {
+        store: StoreId,
+    },
+    Store {
+        store: StoreId,
+        message: ToStore,
+        hold: Option<Hold>,
+    },
+    List(ToList),
+    /// Say `Woken` at this time; replaces what was asked for before.
+    Wake(Duration),
+    Log(String),
+    /// The module cannot run; the text says why.
+    Fatal(String),
+}
--- /dev/null
+++ b/crates/routing/src/settings.rs
@@ -0,0 +1,194 @@
+//! What a gateway is told at its start, checked by whoever wrote it down.
+
+use std::time::Duration;
+
+use umbertray_store_wire::store::Work;
+
+/// How often an effect may happen, as the module knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Replayable,
+    /// Stores discard a repeat for so long after the first.
+    Deduplicated(Duration),
+    OnceOnly,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct OpType {
+    pub name: String,
+    pub target_latency: Duration,
+    pub op_timeout: Duration,
+    pub utility: f64,
+    pub repeats: Repeats,
+    pub in_order: bool,
+}
+
+/// Requests of these kinds and up to this length (bytes; absent: any) are ops of the type. The first rule that fits holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TypeRule {
+    pub works: Vec<Work>,
+    pub up_to: Option<u32>,
+    pub op_type: usize,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    /// Units a second.
+    pub rate: f64,
+    /// Units held at most.
+    pub burst: f64,
+    /// Units by which all gateways together may go beyond it.
+    pub slack: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub name: String,
+    pub weight: f64,
+    /// Units a second that a volume is sized for.
+    pub rate: f64,
+    /// Units a second that are reserved.
+    pub reserve: f64,
+    pub limit: Option<Limit>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Volume {
+    pub name: String,
+    /// Bytes.
+    pub size: u64,
+    pub plan: usize,
+    /// Through how many gateways its ops come.
+    pub gateways: u32,
+}
+
+/// The figures of the rules, as the operators state them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    pub drain_grace: Duration,
+    pub cold_from: f64,
+    pub cold_time: Duration,
+    pub fall_multiple: f64,
+    pub fall_time: Duration,
+    pub cold_units: f64,
+    pub order_pause: Duration,
+    pub further: Option<Further>,
+    pub ask_within: Duration,
+}
+
+/// The budget of further dispatches: so many, and a share of the ops taken, in any span.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Further {
+    pub free: f64,
+    pub share: f64,
+    pub span: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    pub sessions: usize,
+    pub requests_a_session: usize,
+    /// Bytes held for open requests and unread replies, in all and for one session.
+    pub bytes: usize,
+    pub bytes_a_session: usize,
+    /// A request's data, bytes.
+    pub request_bytes: u32,
+    /// Extents whose place is remembered.
+    pub places: usize,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub op_types: Vec<OpType>,
+    pub type_rules: Vec<TypeRule>,
+    pub plans: Vec<Plan>,
+    pub volumes: Vec<Volume>,
+    pub gateways: u32,
+    pub extent_bytes: u32,
+    /// Bytes that count as one unit, and the most units that one op counts.
+    pub unit_bytes: u32,
+    pub most_units: u32,
+    pub mean_units: f64,
+    pub max_dispatches: u32,
+    pub max_retry_after: Duration,
+    pub connect_timeout: Duration,
+    /// The precision of the gateway's own time-keeping.
+    pub tick: Duration,
+    pub rules: Rules,
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// The op type of a request, by the first rule that fits; the last op type where none does.
+    pub fn op_type(&self, work: Work, length: u32) -> usize {
+        let fits =
+            |rule: &&TypeRule| rule.works.contains(&work) && rule.up_to.is_none_or(|most| length <= most);
+        self.type_rules.iter().find(fits).map_or(self.op_types.len() - 1, |rule| rule.op_type)
+    }
+
+    pub fn units(&self, length: u32) -> f64 {
+        f64::from(length.div_ceil(self.unit_bytes).clamp(1, self.most_units))
+    }
+
+    /// The settings as the module reads them.
+    pub fn for_module(&self) -> umbertray::interface::Settings {
+        let mut map = umbertray::interface::Settings::new();
+        let mut put = |name: String, value: String| _ = map.insert(name, value);
+        let seconds = |span: Duration| span.as_secs_f64().to_string();
+        put("op_types.count".into(), self.op_types.len().to_string());
+        for (i, op_type) in self.op_types.iter().enumerate() {
+            let name = |field: &str| format!("op_types.{i}.{field}");
+            put(name("target_latency"), seconds(op_type.target_latency));
+            put(name("op_timeout"), seconds(op_type.op_timeout));
+            put(name("utility"), op_type.utility.to_string());
+            put(name("in_order"), op_type.in_order.to_string());
+            let repeats = match op_type.repeats {
+                Repeats::Replayable => "replayable",
+                Repeats::Deduplicated(span) => {
+                    put(name("dedup_span"), seconds(span));
+                    // A shard's medium discards repeats, whichever of its stores they come to.
+                    put(name("dedup_scope"), "cell".into());
+                    "deduplicated"
+                }
+                Repeats::OnceOnly => "once_only",
+            };
+            put(name("repeats"), repeats.into());
+        }
+        put("plans.count".into(), self.plans.len().to_string());
+        for (i, plan) in self.plans.iter().enumerate() {
+            let name = |field: &str| format!("plans.{i}.{field}");
+            put(name("weight"), plan.weight.to_string());
+            put(name("rate"), plan.rate.to_string());
+            put(name("reserve"), plan.reserve.to_string());
+            if let Some(limit) = &plan.limit {
+                put(name("limit"), limit.rate.to_string());
+                put(name("limit_burst"), limit.burst.to_string());
+                put(name("limit_slack"), limit.slack.to_string());
+            }
+        }
+        let rules = &self.rules;
+        if let Some(further) = &rules.further {
+            put("rules.further_free".into(), further.free.to_string());
+            put("rules.further_share".into(), further.share.to_string());
+            put("rules.further_span".into(), seconds(further.span));
+        }
+        let rest = [
+            ("gateways", self.gateways.to_string()),
+            ("discovery", "asked".into()),
+            ("tick", seconds(self.tick)),
+            ("stores.mean_units", self.mean_units.to_string()),
+            ("stores.cold_units", rules.cold_units.to_string()),
+            ("limits.max_dispatches", self.max_dispatches.to_string()),
+            ("limits.max_retry_after", seconds(self.max_retry_after)),
+            ("rules.drain_grace", seconds(rules.drain_grace)),
+            ("rules.cold_from", rules.cold_from.to_string()),
+            ("rules.cold_time", seconds(rules.cold_time)),
+            ("rules.fall_multiple", rules.fall_multiple.to_string()),
+            ("rules.fall_time", seconds(rules.fall_time)),
+            ("rules.order_pause", seconds(rules.order_pause)),
+            ("rules.ask_within", seconds(rules.ask_within)),
+        ];
+        rest.into_iter().for_each(|(name, value)| put(name.into(), value));
+        map
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,114 @@
+//! A fleet of scripted stores with their list: started, killed, replaced and listed as a script says.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+
+use umbertray_store_wire::list::State;
+
+use crate::book::Book;
+use crate::list::{self, Listed};
+use crate::medium::Medium;
+use crate::model::{Fault, Power};
+use crate::store::{self, Identity};
+
+/// A loopback address whose port the system chooses.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+pub struct Fleet {
+    pub list: list::Running,
+    pub book: Book,
+    media: Vec<Arc<Mutex<Medium>>>,
+    power: Power,
+    stores: BTreeMap<u64, store::Running>,
+    /// Where each store listened last.
+    addresses: BTreeMap<u64, SocketAddr>,
+    next: u64,
+    seed: u64,
+}
+
+impl Fleet {
+    /// Starts so many warm stores, each with a shard of its own, and lists them.
+    pub async fn start(count: u32, power: Power, seed: u64) -> io::Result<Fleet> {
+        let mut fleet = Fleet {
+            list: list::start(any_port()).await?,
+            book: Book::default(),
+            media: (0..count).map(|_| Arc::default()).collect(),
+            power,
+            stores: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            next: 1,
+            seed,
+        };
+        for shard in 0..count {
+            fleet.add(shard, false).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts and lists a new store of a shard; its id.
+    pub async fn add(&mut self, shard: u32, cold: bool) -> io::Result<u64> {
+        let id = self.next;
+        self.next += 1;
+        let identity = Identity {
+            store: id,
+            shard,
+            power: self.power.clone(),
+            medium: self.media[shard as usize].clone(),
+            book: self.book.clone(),
+            seed: self.seed,
+        };
+        let running = store::start(identity, any_port(), cold).await?;
+        let started = cold.then(std::time::Instant::now);
+        let listed =
+            Listed { address: running.address, shard, zone: 0, state: State::Ready, start: 1, started };
+        self.addresses.insert(id, running.address);
+        self.stores.insert(id, running);
+        self.list.list(id, listed);
+        Ok(id)
+    }
+
+    pub fn ids(&self) -> Vec<u64> {
+        self.stores.keys().copied().collect()
+    }
+
+    pub fn get(&self, id: u64) -> Option<&store::Running> {
+        self.stores.get(&id)
+    }
+
+    pub fn shard(&self, id: u64) -> Option<u32> {
+        self.stores.get(&id).map(|running| running.identity().shard)
+    }
+
+    /// The store that serves a shard, the latest started if there are two.
+    pub fn of_shard(&self, shard: u32) -> Option<u64> {
+        self.stores.iter().rev().find(|(_, running)| running.identity().shard == shard).map(|(id, _)| *id)
+    }
+
+    /// Ends a store's process at once; the list is not told. What is needed to start it again comes back.
+    pub fn kill(&mut self, id: u64) -> Option<Identity> {
+        self.stores.remove(&id).map(|running| running.identity().clone())
+    }
+
+    /// Starts a killed store again, cold, where it listened before, and tells the list.
+    pub async fn restart(&mut self, identity: Identity) -> io::Result<()> {
+        let id = identity.store;
+        let address = self.addresses.get(&id).copied().unwrap_or_else(any_port);
+        let running = store::start(identity, address, true).await?;
+        self.list.restarted(id, running.address);
+        self.stores.insert(id, running);
+        Ok(())
+    }
+
+    pub fn fault(&self, id: u64, fault: Fault) {
+        self.stores.get(&id).into_iter().for_each(|running| running.fault(fault.clone()));
+    }
+
+    /// Stores that fell or died by their script, and are listed no longer.
+    pub fn fallen(&self) -> Vec<u64> {
+        self.stores.iter().filter(|(_, running)| running.is_down()).map(|(id, _)| *id).collect()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,191 @@
+//! The list of stores and the directory of extents, as one scripted service.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{broadcast, mpsc};
+use tokio::task::JoinHandle;
+use umbertray_store_wire::list::{Entry, FromList, State, ToList};
+use umbertray_store_wire::{Message, next_frame};
+
+/// One store as the list has it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub address: SocketAddr,
+    pub shard: u32,
+    pub zone: u32,
+    pub state: State,
+    pub start: u64,
+    /// Absent: long ago.
+    pub started: Option<Instant>,
+}
+
+#[derive(Default)]
+struct Known {
+    stores: BTreeMap<u64, Listed>,
+    places: HashMap<(u64, u64), u32>,
+    shards: HashMap<u64, BTreeSet<u32>>,
+    /// Calls are turned away.
+    failing: bool,
+    /// Answers wait for so long.
+    delay: Duration,
+}
+
+/// The service at work; dropping it ends it.
+pub struct Running {
+    pub address: SocketAddr,
+    known: Arc<Mutex<Known>>,
+    changes: broadcast::Sender<u64>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub async fn start(address: SocketAddr) -> io::Result<Running> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (changes, _) = broadcast::channel(1024);
+    let known: Arc<Mutex<Known>> = Arc::default();
+    let (shared, sender) = (known.clone(), changes.clone());
+    let task = tokio::spawn(async move {
+        let mut links = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            links.spawn(serve(stream, shared.clone(), sender.subscribe()));
+        }
+    });
+    Ok(Running { address, known, changes, task })
+}
+
+impl Running {
+    fn with<T>(&self, change: impl FnOnce(&mut Known) -> T) -> T {
+        change(&mut self.known.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
+    }
+
+    /// Lists a store, or lists it anew, and tells all who watch.
+    pub fn list(&self, store: u64, listed: Listed) {
+        self.with(|known| known.stores.insert(store, listed));
+        _ = self.changes.send(store);
+    }
+
+    pub fn state(&self, store: u64, state: State) {
+        self.with(|known| known.stores.get_mut(&store).map(|listed| listed.state = state));
+        _ = self.changes.send(store);
+    }
+
+    /// The store's process has started again, just now.
+    pub fn restarted(&self, store: u64, address: SocketAddr) {
+        self.with(|known| {
+            known.stores.get_mut(&store).map(|listed| {
+                listed.start += 1;
+                (listed.started, listed.address) = (Some(Instant::now()), address);
+                listed.state = State::Ready;
+            })
+        });
+        _ = self.changes.send(store);
+    }
+
+    pub fn fail(&self, failing: bool) {
+        self.with(|known| known.failing = failing);
+    }
+
+    pub fn delay(&self, delay: Duration) {
+        self.with(|known| known.delay = delay);
+    }
+
+    /// How many extents have a place.
+    pub fn places(&self) -> usize {
+        self.with(|known| known.places.len())
+    }
+
+    /// Where an extent lies.
+    pub fn place(&self, volume: u64, extent: u64) -> Option<u32> {
+        self.with(|known| known.places.get(&(volume, extent)).copied())
+    }
+}
+
+fn entry(store: u64, listed: &Listed) -> Entry {
+    Entry {
+        store,
+        address: listed.address,
+        shard: listed.shard,
+        zone: listed.zone,
+        state: listed.state,
+        start: listed.start,
+        age: listed.started.map(|at| at.elapsed().as_micros() as u64),
+    }
+}
+
+impl Known {
+    fn full(&self) -> FromList {
+        FromList::Full(self.stores.iter().map(|(store, listed)| entry(*store, listed)).collect())
+    }
+
+    fn answer(&mut self, message: ToList) -> Option<FromList> {
+        Some(match message {
+            ToList::Hello { .. } => FromList::Welcome,
+            _ if self.failing => FromList::Failed,
+            ToList::Subscribe | ToList::Fetch => self.full(),
+            ToList::Lookup { token, volume, extent } => {
+                FromList::Place { token, shard: self.places.get(&(volume, extent)).copied() }
+            }
+            ToList::Claim { token, volume, extent, shard } => {
+                // The first claim wins, for ever.
+                let shard = *self.places.entry((volume, extent)).or_insert(shard);
+                self.shards.entry(volume).or_default().insert(shard);
+                FromList::Place { token, shard: Some(shard) }
+            }
+            ToList::Shards { token, volume } => {
+                let shards = self.shards.get(&volume).into_iter().flatten().copied().collect();
+                FromList::Shards { token, shards }
+            }
+        })
+    }
+}
+
+async fn serve(stream: TcpStream, known: Arc<Mutex<Known>>, mut changes: broadcast::Receiver<u64>) {
+    _ = stream.set_nodelay(true);
+    let (mut reader, mut writer) = stream.into_split();
+    let (to_client, mut answers) = mpsc::unbounded_channel::<FromList>();
+    let mut input = BytesMut::new();
+    let mut watching = false;
+    let lock = || known.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    loop {
+        let delay = lock().delay;
+        tokio::select! {
+            read = reader.read_buf(&mut input) => {
+                if !read.is_ok_and(|count| count > 0) {
+                    return;
+                }
+                while let Ok(Some(message)) = next_frame::<ToList>(&mut input) {
+                    watching |= message == ToList::Subscribe;
+                    lock().answer(message).into_iter().for_each(|answer| _ = to_client.send(answer));
+                }
+            }
+            Some(answer) = answers.recv() => {
+                tokio::time::sleep(delay).await;
+                if writer.write_all(&answer.frame()).await.is_err() {
+                    return;
+                }
+            }
+            changed = changes.recv(), if watching => {
+                let answer = match changed {
+                    Ok(store) => lock().stores.get(&store).map(|listed| FromList::Changes(vec![entry(store, listed)])),
+                    // Too far behind: the whole list says it all.
+                    Err(broadcast::error::RecvError::Lagged(_)) => Some(lock().full()),
+                    Err(broadcast::error::RecvError::Closed) => return,
+                };
+                answer.into_iter().for_each(|answer| _ = to_client.send(answer));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,361 @@
+//! A scripted store on a loopback socket.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use umbertray_store_wire::store::{Answer, Code, FromStore, ToStore, Work};
+use umbertray_store_wire::{Message, next_frame};
+
+use crate::book::{Book, Seen};
+use crate::medium::{Applied, Medium};
+use crate::model::{Fault, Job, Met, Model, Power};
+
+/// Read data goes out in chunks of this size.
+const CHUNK: usize = 64 * 1024;
+
+/// Who a store is; the same over its restarts.
+#[derive(Clone)]
+pub struct Identity {
+    pub store: u64,
+    pub shard: u32,
+    pub power: Power,
+    /// The shard's data, shared with the store that replaces this one.
+    pub medium: Arc<Mutex<Medium>>,
+    pub book: Book,
+    pub seed: u64,
+}
+
+enum ToStoreTask {
+    Opened(u64, u64, mpsc::UnboundedSender<FromStore>),
+    Frame(u64, ToStore),
+    Closed(u64),
+    Fault(Fault),
+    Pause(Duration),
+    /// Ends it after so many more data chunks, in the midst of a read.
+    DieAfterChunks(u32),
+}
+
+/// A store at work; dropping it ends it as a kill would.
+pub struct Running {
+    pub address: SocketAddr,
+    to_task: mpsc::UnboundedSender<ToStoreTask>,
+    tasks: [JoinHandle<()>; 2],
+    identity: Identity,
+}
+
+impl Running {
+    pub fn fault(&self, fault: Fault) {
+        _ = self.to_task.send(ToStoreTask::Fault(fault));
+    }
+
+    pub fn pause(&self, length: Duration) {
+        _ = self.to_task.send(ToStoreTask::Pause(length));
+    }
+
+    pub fn die_after_chunks(&self, chunks: u32) {
+        _ = self.to_task.send(ToStoreTask::DieAfterChunks(chunks));
+    }
+
+    /// It has fallen or died by its script.
+    pub fn is_down(&self) -> bool {
+        self.tasks[0].is_finished()
+    }
+
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.is_down() {
+            self.identity.book.write(self.identity.store, Seen::Down);
+        }
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Starts a store; port 0 lets the system choose.
+pub async fn start(identity: Identity, address: SocketAddr, cold: bool) -> io::Result<Running> {
+    let listener = bind(address).await?;
+    let address = listener.local_addr()?;
+    let (to_task, from_all) = mpsc::unbounded_channel();
+    let units_a_second = identity.power.units_a_second();
+    identity.book.write(identity.store, Seen::Up { units_a_second, cold });
+    let task = Task::new(identity.clone(), cold);
+    let links = tokio::spawn(accept(listener, to_task.clone()));
+    let closing = links.abort_handle();
+    let main = tokio::spawn(async move {
+        task.run(from_all).await;
+        closing.abort();
+    });
+    Ok(Running { address, to_task, tasks: [main, links], identity })
+}
+
+/// A port that was in use a moment ago by the store's former life is waited for.
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+async fn accept(listener: TcpListener, to_task: mpsc::UnboundedSender<ToStoreTask>) {
+    let mut links = tokio::task::JoinSet::new();
+    for link in 0.. {
+        let Ok((stream, _)) = listener.accept().await else { return };
+        links.spawn(serve(link, stream, to_task.clone()));
+    }
+}
+
+async fn serve(link: u64, stream: TcpStream, to_task: mpsc::UnboundedSender<ToStoreTask>) {
+    _ = stream.set_nodelay(true);
+    let (mut reader, mut writer) = stream.into_split();
+    let (to_link, mut from_task) = mpsc::unbounded_channel::<FromStore>();
+    let writing = async move {
+        let mut messages = Vec::new();
+        while from_task.recv_many(&mut messages, 64).await > 0 {
+            let mut out = BytesMut::new();
+            for message in messages.drain(..) {
+                out.extend_from_slice(&message.frame());
+            }
+            if writer.write_all(&out).await.is_err() {
+                return;
+            }
+        }
+    };
+    let to_reader = to_task.clone();
+    let reading = async move {
+        let mut input = BytesMut::new();
+        loop {
+            match next_frame::<ToStore>(&mut input) {
+                Ok(Some(ToStore::Hello { run })) => {
+                    _ = to_reader.send(ToStoreTask::Opened(link, run, to_link.clone()));
+                }
+                Ok(Some(message)) => _ = to_reader.send(ToStoreTask::Frame(link, message)),
+                Ok(None) => {
+                    input.reserve(CHUNK);
+                    if !reader.read_buf(&mut input).await.is_ok_and(|count| count > 0) {
+                        return;
+                    }
+                }
+                Err(error) => return tracing::warn!(%error, "store: bad frame"),
+            }
+        }
+    };
+    tokio::select! {
+        () = writing => {}
+        () = reading => {}
+    }
+    _ = to_task.send(ToStoreTask::Closed(link));
+}
+
+struct Task {
+    identity: Identity,
+    model: Model,
+    began: Instant,
+    /// The store's own clock starts anywhere.
+    offset: u64,
+    links: HashMap<u64, (u64, mpsc::UnboundedSender<FromStore>)>,
+    chance: StdRng,
+    chunks_to_live: Option<u32>,
+    down: bool,
+}
+
+impl Task {
+    fn new(identity: Identity, cold: bool) -> Task {
+        let mut chance = StdRng::seed_from_u64(identity.seed ^ identity.store);
+        Task {
+            model: Model::new(identity.power.clone(), Duration::ZERO, cold),
+            began: Instant::now(),
+            offset: chance.random_range(0..1 << 40),
+            links: HashMap::new(),
+            chance,
+            chunks_to_live: None,
+            down: false,
+            identity,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn clock(&self) -> u64 {
+        self.offset + self.now().as_micros() as u64
+    }
+
+    async fn run(mut self, mut from_all: mpsc::UnboundedReceiver<ToStoreTask>) {
+        while !self.down {
+            let next = self.model.next().map(|at| tokio::time::Instant::from_std(self.began + at));
+            let wait = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                message = from_all.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = wait => {}
+            }
+            self.advance();
+        }
+        self.identity.book.write(self.identity.store, Seen::Down);
+    }
+
+    fn take(&mut self, message: ToStoreTask) {
+        match message {
+            ToStoreTask::Opened(link, run, sender) => {
+                if !self.model.fault.mute {
+                    let (store, shard, clock) = (self.identity.store, self.identity.shard, self.clock());
+                    _ = sender.send(FromStore::Welcome { store, shard, clock });
+                }
+                self.links.insert(link, (run, sender));
+            }
+            ToStoreTask::Frame(link, message) => self.heard(link, message),
+            ToStoreTask::Closed(link) => _ = self.links.remove(&link),
+            ToStoreTask::Fault(fault) => self.model.fault = fault,
+            ToStoreTask::Pause(length) => {
+                let now = self.now();
+                self.model.pause(now, length);
+            }
+            ToStoreTask::DieAfterChunks(chunks) => self.chunks_to_live = Some(chunks),
+        }
+    }
+
+    fn heard(&mut self, link: u64, message: ToStore) {
+        let Some((run, _)) = self.links.get(&link) else { return };
+        let (run, now, clock) = (*run, self.now(), self.clock());
+        match message {
+            ToStore::Hello { .. } => {}
+            ToStore::Dispatch(dispatch) => {
+                self.identity.book.write(self.identity.store, received(run, &dispatch));
+                if let Ok(mut medium) = self.identity.medium.lock() {
+                    medium.void(run, &dispatch);
+                }
+                let number = dispatch.number;
+                let job = Job { link, run, dispatch, arrived: now };
+                if self.chance.random_bool(self.model.fault.errors) {
+                    return self.answer(&job, Code::Error, Vec::new());
+                }
+                match self.model.arrive(now, job) {
+                    Met::Queued => {}
+                    Met::Full(job) => self.answer(&job, Code::Full, Vec::new()),
+                    Met::Fell => {
+                        tracing::warn!(store = self.identity.store, number, "store pushed over");
+                        self.identity.book.write(self.identity.store, Seen::Fell);
+                        self.down = true;
+                    }
+                }
+            }
+            ToStore::Cancel { number } => {
+                if let Some(job) = self.model.cancel(run, number) {
+                    self.answer(&job, Code::Cancelled, Vec::new());
+                }
+            }
+            ToStore::Probe { token } => {
+                let report = self.model.report();
+                self.say(link, FromStore::Probed { token, clock, report });
+            }
+        }
+    }
+
+    fn say(&self, link: u64, message: FromStore) {
+        if let Some((_, sender)) = self.links.get(&link).filter(|_| !self.model.fault.mute) {
+            _ = sender.send(message);
+        }
+    }
+
+    fn answer(&mut self, job: &Job, code: Code, stretches: Vec<umbertray_store_wire::store::Stretch>) {
+        let (run, number) = (job.run, job.dispatch.number);
+        self.identity
+            .book
+            .write(self.identity.store, Seen::Answered { run, number, code: format!("{code:?}") });
+        if self.chance.random_bool(self.model.fault.lost) {
+            return;
+        }
+        let now = self.now();
+        let elsewhere = if code == Code::Acked { self.model.served(now, job) } else { 0.0 };
+        let (clock, report) = (self.clock(), self.model.report());
+        let answer = Answer { number, code: Ok(code), clock, used: None, elsewhere, report, stretches };
+        self.say(job.link, FromStore::Answer(answer));
+    }
+
+    fn advance(&mut self) {
+        let (now, clock) = (self.now(), self.clock());
+        let medium = self.identity.medium.clone();
+        let fenced =
+            |job: &Job| medium.lock().is_ok_and(|medium| medium.fenced(clock, job.run, &job.dispatch));
+        for job in self.model.advance(now, fenced) {
+            let Ok(applied) = medium.lock().map(|mut medium| medium.apply(clock, job.run, &job.dispatch))
+            else {
+                return;
+            };
+            if !matches!(applied, Applied::Fenced | Applied::Repeat) {
+                let ran = Seen::Ran { run: job.run, number: job.dispatch.number };
+                self.identity.book.write(self.identity.store, ran);
+            }
+            match applied {
+                Applied::Read(parts) => {
+                    parts.into_iter().for_each(|(offset, part)| self.data(&job, offset, part));
+                    if self.down {
+                        return;
+                    }
+                    self.answer(&job, Code::Acked, Vec::new());
+                }
+                Applied::Status(stretches) => self.answer(&job, Code::Acked, stretches),
+                Applied::Done | Applied::Repeat => self.answer(&job, Code::Acked, Vec::new()),
+                Applied::Fenced => self.answer(&job, Code::Fenced, Vec::new()),
+            }
+        }
+    }
+
+    fn data(&mut self, job: &Job, offset: u32, part: Result<bytes::Bytes, u32>) {
+        let number = job.dispatch.number;
+        let mut data = match part {
+            Ok(data) => data,
+            Err(length) => return self.say(job.link, FromStore::Hole { number, offset, length }),
+        };
+        let mut at = offset;
+        while !data.is_empty() && !self.down {
+            let chunk = data.split_to(CHUNK.min(data.len()));
+            let length = chunk.len() as u32;
+            self.say(job.link, FromStore::Data { number, offset: at, data: chunk });
+            at += length;
+            if let Some(left) = &mut self.chunks_to_live {
+                *left = left.saturating_sub(1);
+                self.down = *left == 0;
+            }
+        }
+    }
+}
+
+fn received(run: u64, dispatch: &umbertray_store_wire::store::Dispatch) -> Seen {
+    let mark = dispatch.data.first_chunk::<8>().map_or(0, |bytes| u64::from_be_bytes(*bytes));
+    debug_assert!(dispatch.work != Work::Write || dispatch.data.len() == dispatch.length as usize);
+    Seen::Received {
+        run,
+        number: dispatch.number,
+        op: dispatch.op,
+        volume: dispatch.volume,
+        extent: dispatch.extent,
+        work: format!("{:?}", dispatch.work),
+        offset: dispatch.offset,
+        length: dispatch.length,
+        units: dispatch.units,
+        mark,
+    }
+}
--- a/crates/store-wire/src/store.rs
+++ b/crates/store-wire/src/store.rs
@@ -31,6 +31,9 @@
 pub struct Dispatch {
     /// Counts up within a gateway's run and is never used twice in it.
     pub number: u64,
+    /// The op's mark, the same in all its dispatches and in no other op's of this gateway's run: by it a store knows a
+    /// repeat of what it has done.
+    pub op: u64,
     pub volume: u64,
     pub extent: u64,
     pub work: Work,
@@ -175,6 +178,7 @@
             }
             ToStore::Dispatch(dispatch) => {
                 out.put_u64(dispatch.number);
+                out.put_u64(dispatch.op);
                 out.put_u64(dispatch.volume);
                 out.put_u64(dispatch.extent);
                 out.put_u8(Work::ALL.iter().position(|work| *work == dispatch.work).unwrap_or(0) as u8);
@@ -206,7 +210,8 @@
 }
 
 fn dispatch(fields: &mut Reader) -> Result<Dispatch, Malformed> {
-    let (number, volume, extent, work) = (fields.u64()?, fields.u64()?, fields.u64()?, fields.u8()?);
+    let (number, op, volume, extent) = (fields.u64()?, fields.u64()?, fields.u64()?, fields.u64()?);
+    let work = fields.u8()?;
     let work = *Work::ALL.get(usize::from(work)).ok_or_else(|| fields.bad("work", work.into()))?;
     let (offset, length, units) = (fields.u32()?, fields.u32()?, fields.amount("units")?);
     let (not_after, voids) = (fields.u64()?, fields.list(Reader::u64)?);
@@ -216,7 +221,7 @@
     if data.len() != wanted || offset.checked_add(length).is_none() {
         return Err(fields.bad("length", length.into()));
     }
-    Ok(Dispatch { number, volume, extent, work, offset, length, units, not_after, voids, durable, data })
+    Ok(Dispatch { number, op, volume, extent, work, offset, length, units, not_after, voids, durable, data })
 }
 
 impl Message for FromStore {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -333,6 +333,10 @@
             Event::StreamBegan { op } => _ = self.ops.get_mut(&op).map(|taken| taken.end_at = Duration::MAX),
             Event::Answered(answer) => self.answered(&answer),
             Event::ClientLeft { op } => self.part(op),
+            // From now on it is bound to that shard, its further dispatches too.
+            Event::Placed { op, shard } => {
+                _ = self.ops.get_mut(&op).map(|taken| taken.op.shard = Some(shard));
+            }
             Event::Timer { .. } if now >= self.sweep_at => self.sweep(),
             Event::Timer { .. } | Event::Probed { .. } | Event::Start { .. } => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,6 +116,11 @@
     ClientLeft {
         op: OpId,
     },
+    /// An op that came as a new object lies at this shard: this gateway's claim was first there, or another's was.
+    Placed {
+        op: OpId,
+        shard: u32,
+    },
     Timer {
         token: u64,
     },
