--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod nbd;
 mod output;
+mod rehearse;
 mod serve;
 mod stand_in;
 
@@ -43,6 +44,8 @@
     /// Runs a scripted store or list, for trying a gateway by hand.
     #[command(subcommand)]
     StandIn(stand_in::Command),
+    /// Plays a scripted day through real gateways and judges it by what crossed the sockets.
+    Rehearse(rehearse::Arguments),
     /// A small NBD client.
     #[command(subcommand)]
     Nbd(nbd::Command),
@@ -72,6 +75,7 @@
             serve::document(&file).map(|document| output::print(&document.as_script()))
         }
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
+        Command::Rehearse(arguments) => runtime.block_on(rehearse::run(arguments)),
         Command::Nbd(command) => runtime.block_on(nbd::run(command)),
     };
     // What still waits for a clock or a socket must not hold up the exit.
--- a/crates/config/src/calls.rs
+++ b/crates/config/src/calls.rs
@@ -10,7 +10,7 @@
 
 /// A call of one of the script's own functions.
 #[derive(Clone, Debug)]
-pub(crate) struct Call {
+pub struct Call {
     pub function: &'static str,
     /// The positional argument, where there is one.
     pub first: Value,
@@ -28,7 +28,7 @@
 }
 
 /// Reads a call's arguments; each problem is noted and a stand-in value goes on, so that all are found at once.
-pub(crate) struct Arguments<'a> {
+pub struct Arguments<'a> {
     pub call: &'a Call,
     problems: &'a mut Vec<Problem>,
     known: Vec<&'static str>,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,9 @@
 mod check;
 mod script;
 
+pub use calls::{Arguments, Call};
+pub use script::evaluate;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -45,10 +48,21 @@
 
 impl std::error::Error for Problem {}
 
+/// The functions whose calls make up settings; the others that a script may call belong to a rehearsal's day.
+const SETTINGS: [&str; 7] = ["gateway", "op_type", "request", "plan", "volume", "rules", "bounds"];
+
 /// Evaluates a script and checks what it says.
 pub fn read(file: &str, text: String) -> Result<Document, Vec<Problem>> {
     let calls = script::evaluate(file, text).map_err(|problem| vec![problem])?;
-    check::document(file, &calls)
+    let strange = calls.iter().filter(|call| !SETTINGS.contains(&call.function));
+    let strange: Vec<Problem> =
+        strange.map(|call| call.problem("does not belong in settings".into())).collect();
+    if strange.is_empty() { document(file, &calls) } else { Err(strange) }
+}
+
+/// Checks the settings among a script's calls.
+pub fn document(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
+    check::document(file, calls)
 }
 
 impl Document {
--- a/crates/config/src/script.rs
+++ b/crates/config/src/script.rs
@@ -100,6 +100,29 @@
     ) -> anyhow::Result<NoneType> {
         note(eval, "volume", Some(name), named)
     }
+
+    fn day<'v>(
+        #[starlark(kwargs)] named: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note(eval, "day", None, named)
+    }
+
+    fn clients<'v>(
+        #[starlark(require = pos)] volume: Value<'v>,
+        #[starlark(kwargs)] named: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note(eval, "clients", Some(volume), named)
+    }
+
+    fn trouble<'v>(
+        #[starlark(require = pos)] kind: Value<'v>,
+        #[starlark(kwargs)] named: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note(eval, "trouble", Some(kind), named)
+    }
 }
 
 fn globals() -> Globals {
@@ -111,7 +134,8 @@
     builder.build()
 }
 
-pub(crate) fn evaluate(file: &str, text: String) -> Result<Vec<Call>, Problem> {
+/// Evaluates a script within bounds; its calls, in order.
+pub fn evaluate(file: &str, text: String) -> Result<Vec<Call>, Problem> {
     let whole = |what: String| Problem { file: file.into(), line: 0, column: 0, what };
     if text.len() > MOST_TEXT {
         return Err(whole(format!("{} bytes, over the bound of {MOST_TEXT}", text.len())));
--- /dev/null
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -0,0 +1,69 @@
+//! The verdict on a day, from what clients and stores saw and never from the gateways' own word.
+
+mod registers;
+mod rules;
+mod service;
+
+use serde::Serialize;
+
+use crate::day::Day;
+use crate::record::Record;
+
+pub use service::{Count, Service};
+
+/// What one rule came to.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Finding {
+    pub rule: &'static str,
+    /// How often it was looked at: a rule that was never tried says nothing.
+    pub looked: u64,
+    /// Its figure, in the words of `unit`.
+    pub figure: f64,
+    pub unit: &'static str,
+    /// The first few breaches.
+    pub breaches: Vec<String>,
+    pub broken: u64,
+}
+
+impl Finding {
+    pub(crate) fn new(rule: &'static str, unit: &'static str) -> Finding {
+        Finding { rule, looked: 0, figure: 0.0, unit, breaches: Vec::new(), broken: 0 }
+    }
+
+    pub(crate) fn breach(&mut self, what: impl FnOnce() -> String) {
+        self.broken += 1;
+        if self.breaches.len() < 5 {
+            self.breaches.push(what());
+        }
+    }
+
+    pub(crate) fn at_most(&mut self, figure: f64) {
+        self.figure = self.figure.max(figure);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Verdict {
+    pub kept: bool,
+    pub findings: Vec<Finding>,
+    pub service: Service,
+}
+
+pub fn judge(day: &Day, record: &Record) -> Verdict {
+    let seen = rules::Seen::new(day, record);
+    let findings = vec![
+        rules::one_answer(&seen),
+        rules::no_effect_twice(&seen),
+        rules::drains(&seen),
+        rules::cold_stores(&seen),
+        rules::order(&seen),
+        rules::budget(&seen),
+        rules::limits(&seen),
+        registers::registers(&seen),
+    ];
+    let kept = findings.iter().all(|finding| finding.broken == 0);
+    Verdict { kept, findings, service: service::service(day, record) }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rehearsal/src/judge/service.rs
@@ -0,0 +1,69 @@
+//! Utility acked within target latency, over time, by op type and by plan.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use umbertray_store_wire::store::Work;
+
+use crate::day::Day;
+use crate::record::{Kind, Outcome, Record};
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Count {
+    pub asked: u64,
+    pub acked: u64,
+    pub in_target: u64,
+    pub throttled: u64,
+    pub aborted: u64,
+    pub lost: u64,
+    /// Utility asked for, and acked within the target latency.
+    pub utility: f64,
+    pub utility_in_target: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Service {
+    pub all: Count,
+    pub by_op_type: BTreeMap<String, Count>,
+    pub by_plan: BTreeMap<String, Count>,
+    /// By second of the day.
+    pub by_second: BTreeMap<u64, Count>,
+}
+
+pub(crate) fn service(day: &Day, record: &Record) -> Service {
+    let settings = &day.document.settings;
+    let mut service = Service::default();
+    for asked in &record.asked {
+        let work = match asked.kind {
+            Kind::Read => Work::Read,
+            Kind::Write => Work::Write,
+            Kind::Flush => Work::Flush,
+        };
+        let op_type = &settings.op_types[settings.op_type(work, asked.length)];
+        let plan = &settings.plans[settings.volumes[asked.volume].plan].name;
+        let in_time = asked.ended - asked.sent <= op_type.target_latency.as_micros() as u64;
+        let counts = [
+            &mut service.all,
+            service.by_op_type.entry(op_type.name.clone()).or_default(),
+            service.by_plan.entry(plan.clone()).or_default(),
+            service.by_second.entry(asked.sent / 1_000_000).or_default(),
+        ];
+        for count in counts {
+            count.asked += 1;
+            count.utility += op_type.utility;
+            match asked.outcome {
+                Outcome::Acked => {
+                    count.acked += 1;
+                    if in_time {
+                        count.in_target += 1;
+                        count.utility_in_target += op_type.utility;
+                    }
+                }
+                Outcome::Throttled => count.throttled += 1,
+                Outcome::Aborted | Outcome::Shutdown => count.aborted += 1,
+                Outcome::Lost | Outcome::Silent => count.lost += 1,
+            }
+        }
+    }
+    service
+}
--- /dev/null
+++ b/crates/rehearsal/src/record.rs
@@ -0,0 +1,75 @@
+//! What a rehearsal leaves for the judge.
+
+use serde::{Deserialize, Serialize};
+use umbertray_standin::book::Entry;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    Read,
+    Write,
+    Flush,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    Acked,
+    Throttled,
+    Aborted,
+    /// Refused while the gateway shut down.
+    Shutdown,
+    /// The connection ended without an answer.
+    Lost,
+    /// No answer had come long after the client's time was up.
+    Silent,
+}
+
+/// One request, as its client saw it. Times are microseconds since the rehearsal began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Asked {
+    pub client: u32,
+    pub gateway: usize,
+    pub volume: usize,
+    pub kind: Kind,
+    pub offset: u64,
+    pub length: u32,
+    /// What a write wrote; unique.
+    pub mark: u64,
+    pub sent: u64,
+    pub ended: u64,
+    pub outcome: Outcome,
+    /// What an acked read found in each block: a write's mark, 0 for zeros, or nothing where the block is torn.
+    pub found: Vec<Option<u64>>,
+}
+
+/// What was done to gateways and the list, which the rules' figures count from.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Deed {
+    /// The list named a store draining or gone, or ready again.
+    Barred {
+        store: u64,
+    },
+    Ready {
+        store: u64,
+    },
+    /// Nothing runs in a gateway until then.
+    Stalled {
+        gateway: usize,
+        until: u64,
+    },
+    Killed {
+        gateway: usize,
+    },
+    /// The list answers later by so much, microseconds.
+    ListDelay {
+        delay: u64,
+    },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub asked: Vec<Asked>,
+    pub stores: Vec<Entry>,
+    pub deeds: Vec<(u64, Deed)>,
+    /// Replies that belonged to no open request, and bytes that were no replies.
+    pub strays: Vec<String>,
+}
--- /dev/null
+++ b/crates/rehearsal/src/run.rs
@@ -0,0 +1,372 @@
+//! Playing a day: gateways as child processes, stores and clients here, troubles at their times.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use umbertray_standin::fleet::Fleet;
+use umbertray_standin::model::Fault;
+use umbertray_store_wire::list::State;
+
+use crate::day::{Day, Kind, Trouble};
+use crate::load::{Client, Shared, Weather};
+use crate::record::{Deed, Record};
+
+/// How long a gateway may take to say where it listens.
+const START: Duration = Duration::from_secs(20);
+
+/// One gateway in a process of its own; ended when dropped.
+pub struct Gateway {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Gateway {
+    /// Starts `program serve` on a settings file written into `folder`.
+    pub async fn start(program: &Path, folder: &Path, name: &str, settings: &str) -> io::Result<Gateway> {
+        let file = folder.join(format!("{name}.star"));
+        tokio::task::block_in_place(|| std::fs::write(&file, settings))?;
+        let log =
+            std::fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log")))?;
+        let mut child = Command::new(program)
+            .args(["--log", "json", "serve", "--config"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        let out = child.stdout.take().ok_or_else(|| io::Error::other("no standard output"))?;
+        let mut lines = BufReader::new(out).lines();
+        let line = tokio::time::timeout(START, lines.next_line()).await??;
+        let said: serde_json::Value = serde_json::from_str(&line.unwrap_or_default())?;
+        let address = said["nbd"][0].as_str().and_then(|text| text.parse().ok());
+        let address =
+            address.ok_or_else(|| io::Error::other(format!("{name} did not say where it listens")))?;
+        Ok(Gateway { child, address })
+    }
+
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = self.child.id().ok_or(io::ErrorKind::NotFound)?;
+        kill(Pid::from_raw(id as i32), signal).map_err(io::Error::from)
+    }
+
+    pub async fn kill(&mut self) -> io::Result<()> {
+        self.child.kill().await
+    }
+
+    /// Asks it to stop, and says how long that took and whether it ended well.
+    pub async fn stop(mut self, patience: Duration) -> io::Result<(Duration, bool)> {
+        let began = std::time::Instant::now();
+        self.signal(Signal::SIGTERM)?;
+        let status = tokio::time::timeout(patience, self.child.wait()).await??;
+        Ok((began.elapsed(), status.success()))
+    }
+}
+
+struct Stage {
+    day: Day,
+    seed: u64,
+    program: PathBuf,
+    folder: PathBuf,
+    fleet: Fleet,
+    gateways: Vec<Gateway>,
+    shared: Arc<Shared>,
+    weather: watch::Sender<Weather>,
+    draw: StdRng,
+    /// Stores killed, to be started again.
+    down: Vec<umbertray_standin::store::Identity>,
+}
+
+/// Plays a day with gateways of `program`, their settings and logs in `folder`.
+pub async fn rehearse(day: &Day, seed: u64, program: &Path, folder: &Path) -> io::Result<Record> {
+    let fleet = Fleet::start(day.stores, day.power.clone(), seed).await?;
+    let volumes = &day.document.settings.volumes;
+    let (weather, watched) = watch::channel(Weather::fair(volumes.len()));
+    let longest = day.document.settings.op_types.iter().map(|op_type| op_type.op_timeout).max();
+    let shared = Arc::new(Shared {
+        book: fleet.book.clone(),
+        weather: watched,
+        record: Mutex::default(),
+        marks: AtomicU64::new(1),
+        gateways: Mutex::default(),
+        patience: 2 * longest.unwrap_or_default() + Duration::from_secs(5),
+    });
+    let mut stage = Stage {
+        day: day.clone(),
+        seed,
+        program: program.into(),
+        folder: folder.into(),
+        fleet,
+        gateways: Vec::new(),
+        shared: shared.clone(),
+        weather,
+        draw: StdRng::seed_from_u64(seed),
+        down: Vec::new(),
+    };
+    for number in 0..day.gateways as usize {
+        let gateway = stage.gateway(number, 0).await?;
+        stage.shared.gateways.lock().map_err(|_| io::Error::other("poisoned"))?.push(gateway.address);
+        stage.gateways.push(gateway);
+    }
+    let mut clients = tokio::task::JoinSet::new();
+    let mut number = 0;
+    for load in &day.loads {
+        for _ in 0..load.clients {
+            let client = Client {
+                number,
+                gateway: number as usize % day.gateways as usize,
+                load: load.clone(),
+                volume_name: volumes[load.volume].name.clone(),
+                volume_bytes: volumes[load.volume].size,
+                seed: seed ^ (u64::from(number) + 1).wrapping_mul(0x2545_f491_4f6c_dd1d),
+                shared: shared.clone(),
+            };
+            clients.spawn(client.run());
+            number += 1;
+        }
+    }
+    stage.play().await?;
+    stage.weather.send_modify(|weather| weather.over = true);
+    while clients.join_next().await.is_some() {}
+    for gateway in stage.gateways.drain(..) {
+        let (_, well) = gateway.stop(shared.patience).await?;
+        if !well {
+            return Err(io::Error::other("a gateway did not end well when asked to stop"));
+        }
+    }
+    let mut record = shared.record.lock().map(|mut record| std::mem::take(&mut *record));
+    if let Ok(record) = &mut record {
+        record.asked.sort_by_key(|asked| asked.sent);
+        record.stores = stage.fleet.book.entries();
+    }
+    record.map_err(|_| io::Error::other("poisoned"))
+}
+
+/// A step of a trouble: what is to be done when.
+enum Step {
+    Begin(usize),
+    End(usize),
+    /// A store killed by a trouble comes back.
+    Restart(u64),
+    /// A drained store's process ends.
+    Gone(u64),
+    /// One more store is drained and replaced.
+    Replace(u64),
+    Worse(usize, u32),
+}
+
+impl Stage {
+    async fn gateway(&self, number: usize, life: u64) -> io::Result<Gateway> {
+        let mut document = self.day.document.clone();
+        document.list = self.fleet.list.address;
+        document.seed = (self.seed << 16 ^ number as u64 ^ life << 8) & ((1 << 53) - 1);
+        document.listen = vec![SocketAddr::from(([127, 0, 0, 1], 0))];
+        let name = format!("gateway-{number}");
+        Gateway::start(&self.program, &self.folder, &name, &document.as_script()).await
+    }
+
+    fn note(&self, deed: Deed) {
+        if let Ok(mut record) = self.shared.record.lock() {
+            record.deeds.push((self.shared.book.now(), deed));
+        }
+    }
+
+    async fn play(&mut self) -> io::Result<()> {
+        let began = tokio::time::Instant::now();
+        let mut steps: Vec<(Duration, Step)> = Vec::new();
+        for (i, trouble) in self.day.troubles.iter().enumerate() {
+            steps.push((trouble.at, Step::Begin(i)));
+            steps.push((trouble.at + trouble.lasts, Step::End(i)));
+        }
+        let mut struck: Vec<Vec<u64>> = vec![Vec::new(); self.day.troubles.len()];
+        loop {
+            steps.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+            let Some((at, step)) = steps.pop().filter(|(at, _)| *at <= self.day.length) else { break };
+            tokio::time::sleep_until(began + at).await;
+            match step {
+                Step::Begin(i) => {
+                    let trouble = self.day.troubles[i].clone();
+                    struck[i] = self.begin(&trouble, i, at, &mut steps).await?;
+                }
+                Step::End(i) => {
+                    let trouble = self.day.troubles[i].clone();
+                    self.end(&trouble, &std::mem::take(&mut struck[i])).await?;
+                }
+                Step::Restart(id) => self.restart(id).await?,
+                Step::Gone(id) => {
+                    self.fleet.list.state(id, State::Gone);
+                    self.fleet.kill(id);
+                }
+                Step::Replace(id) => self.replace(id, at, &mut steps).await?,
+                Step::Worse(i, times) => {
+                    let slow = self.day.troubles[i].size.powf(f64::from(times) / 4.0);
+                    struck[i].iter().for_each(|id| self.fleet.fault(*id, Fault { slow, ..Fault::default() }));
+                }
+            }
+        }
+        tokio::time::sleep_until(began + self.day.length).await;
+        Ok(())
+    }
+
+    /// So many of them, drawn by the seed; one at least.
+    fn some<T: Clone>(&mut self, all: &[T], part: f64) -> Vec<T> {
+        let mut all = all.to_vec();
+        all.shuffle(&mut self.draw);
+        all.truncate(((all.len() as f64 * part).round() as usize).max(1));
+        all
+    }
+
+    async fn begin(
+        &mut self,
+        trouble: &Trouble,
+        index: usize,
+        at: Duration,
+        steps: &mut Vec<(Duration, Step)>,
+    ) -> io::Result<Vec<u64>> {
+        let (size, volume) = (trouble.size, trouble.volume);
+        let ids = self.fleet.ids();
+        let stores = self.some(&ids, trouble.part);
+        let share = size.clamp(0.0, 1.0);
+        let fault = match trouble.kind {
+            Kind::Slow => Some(Fault { slow: size.max(1.0), ..Fault::default() }),
+            Kind::FastErrors => Some(Fault { errors: share, ..Fault::default() }),
+            Kind::AnswerLost => Some(Fault { lost: share, ..Fault::default() }),
+            Kind::Full => Some(Fault { full: true, ..Fault::default() }),
+            Kind::Neighbour => Some(Fault { slow: 1.0 / (1.0 - share.min(0.95)), ..Fault::default() }),
+            Kind::Mute => Some(Fault { mute: true, ..Fault::default() }),
+            Kind::Sit => Some(Fault { sits: Duration::from_secs_f64(size), ..Fault::default() }),
+            _ => None,
+        };
+        if let Some(fault) = fault {
+            stores.iter().for_each(|id| self.fleet.fault(*id, fault.clone()));
+            return Ok(stores);
+        }
+        match trouble.kind {
+            Kind::Crash => {
+                for id in &stores {
+                    self.fleet.kill(*id).into_iter().for_each(|identity| self.down.push(identity));
+                    steps.push((at + trouble.lasts, Step::Restart(*id)));
+                }
+            }
+            Kind::Pauses => {
+                let length = Duration::from_secs_f64(size / 1000.0);
+                stores.iter().filter_map(|id| self.fleet.get(*id)).for_each(|store| store.pause(length));
+                // Again and again, each time a few pauses later.
+                let again = at + length * 8;
+                if again < trouble.at + trouble.lasts {
+                    steps.push((again, Step::Begin(index)));
+                }
+            }
+            Kind::Ageing => {
+                (0..4).for_each(|n| steps.push((at + trouble.lasts * n / 5, Step::Worse(index, n + 1))));
+                for id in &stores {
+                    steps.push((at + trouble.lasts, Step::Replace(*id)));
+                }
+            }
+            Kind::Preempt => {
+                for (n, id) in stores.iter().enumerate() {
+                    steps.push((at + trouble.lasts / 4 * (n as u32 % 4), Step::Replace(*id)));
+                }
+            }
+            Kind::Deploy => {
+                let gap = trouble.lasts / stores.len() as u32;
+                for (n, id) in stores.iter().enumerate() {
+                    steps.push((at + gap * n as u32, Step::Replace(*id)));
+                }
+            }
+            Kind::ReportLate => {
+                self.fleet.list.delay(Duration::from_secs_f64(size));
+                self.note(Deed::ListDelay { delay: (size * 1e6) as u64 });
+            }
+            Kind::ListDown => self.fleet.list.fail(true),
+            Kind::GatewayCrash => {
+                let all: Vec<usize> = (0..self.gateways.len()).collect();
+                for number in self.some(&all, trouble.part) {
+                    self.note(Deed::Killed { gateway: number });
+                    self.gateways[number].kill().await?;
+                    let life = self.draw.random_range(1..256);
+                    let gateway = self.gateway(number, life).await?;
+                    if let Ok(mut all) = self.shared.gateways.lock() {
+                        all[number] = gateway.address;
+                    }
+                    self.gateways[number] = gateway;
+                }
+            }
+            Kind::GatewayStall => {
+                let all: Vec<usize> = (0..self.gateways.len()).collect();
+                let struck = self.some(&all, trouble.part);
+                for number in &struck {
+                    let until = self.shared.book.now() + trouble.lasts.as_micros() as u64;
+                    self.note(Deed::Stalled { gateway: *number, until });
+                    self.gateways[*number].signal(Signal::SIGSTOP)?;
+                }
+                return Ok(struck.into_iter().map(|number| number as u64).collect());
+            }
+            Kind::Reconnect => self.weather.send_modify(|weather| {
+                weather.drops += 1;
+                weather.drop_part = trouble.part;
+            }),
+            Kind::Burst => self.weather.send_modify(|weather| weather.rate.fill(size)),
+            Kind::Surge => self.weather.send_modify(|weather| weather.rate[volume] = size),
+            Kind::HotKey => self.weather.send_modify(|weather| {
+                (weather.hot[volume], weather.rate[volume]) = (true, size);
+            }),
+            Kind::Scan => self.weather.send_modify(|weather| weather.scan[volume] = true),
+            _ => {}
+        }
+        Ok(stores)
+    }
+
+    async fn end(&mut self, trouble: &Trouble, struck: &[u64]) -> io::Result<()> {
+        let volume = trouble.volume;
+        match trouble.kind {
+            Kind::ReportLate => {
+                self.fleet.list.delay(Duration::ZERO);
+                self.note(Deed::ListDelay { delay: 0 });
+            }
+            Kind::ListDown => self.fleet.list.fail(false),
+            Kind::GatewayStall => {
+                struck.iter().try_for_each(|n| self.gateways[*n as usize].signal(Signal::SIGCONT))?;
+            }
+            Kind::Burst => self.weather.send_modify(|weather| weather.rate.fill(1.0)),
+            Kind::Surge | Kind::HotKey | Kind::Scan => self.weather.send_modify(|weather| {
+                weather.rate[volume] = 1.0;
+                (weather.hot[volume], weather.scan[volume]) = (false, false);
+            }),
+            _ => struck.iter().for_each(|id| self.fleet.fault(*id, Fault::default())),
+        }
+        Ok(())
+    }
+
+    async fn restart(&mut self, id: u64) -> io::Result<()> {
+        let Some(at) = self.down.iter().position(|identity| identity.store == id) else { return Ok(()) };
+        let identity = self.down.swap_remove(at);
+        self.fleet.restart(identity).await?;
+        self.note(Deed::Ready { store: id });
+        Ok(())
+    }
+
+    /// A successor starts cold; the store drains, and is gone a little later.
+    async fn replace(&mut self, id: u64, at: Duration, steps: &mut Vec<(Duration, Step)>) -> io::Result<()> {
+        let Some(shard) = self.fleet.shard(id) else { return Ok(()) };
+        self.fleet.add(shard, true).await?;
+        self.fleet.list.state(id, State::Draining);
+        self.note(Deed::Barred { store: id });
+        let grace = self.day.document.settings.rules.drain_grace;
+        steps.push((at + grace + self.day.slack, Step::Gone(id)));
+        Ok(())
+    }
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -168,6 +168,16 @@
         waiting.1.iter().filter(|why| *why != "closed").cloned().collect()
     }
 
+    /// Drops the connection without a goodbye; all that wait learn that it has ended.
+    pub fn cut(&self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+        let mut waiting = self.waiting.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        for (_, open) in waiting.0.drain() {
+            open.done.into_iter().for_each(|done| _ = done.send(None));
+        }
+        waiting.1.push("closed".into());
+    }
+
     /// Says goodbye and closes.
     pub fn disconnect(&self) {
         let disc = Command::Disc;
