Test codecs, settings and the routing core; stop scripts that grow without end

The parts under the gateway had no tests of their own. Settings: each problem with its place, all at once. Routing: two cores, three stores and a directory in virtual time with drawn outcomes; one final answer in time, one place an extent. Found on the way: a list that doubles filled gigabytes before the interpreter looked at its heap, and one value of gigabytes panicked it; both are errors now.

--- a/crates/config/src/script.rs
+++ b/crates/config/src/script.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeMap;
 
 use starlark::any::ProvidesStaticType;
+use starlark::codemap::FileSpanRef;
 use starlark::collections::SmallMap;
 use starlark::environment::{Globals, GlobalsBuilder, Module};
-use starlark::eval::Evaluator;
+use starlark::eval::{BeforeStmtFunc, BeforeStmtFuncDyn, Evaluator};
 use starlark::starlark_module;
 use starlark::syntax::{AstModule, Dialect};
 use starlark::values::Value;
@@ -16,7 +17,7 @@
 use crate::calls::Call;
 
 /// A script that calls or loops more often, or holds more memory (bytes), is stopped.
-const MOST_TICKS: u64 = 2_000_000;
+const MOST_TICKS: u64 = 500_000;
 const MOST_HEAP: usize = 64 << 20;
 /// The longest script, bytes.
 const MOST_TEXT: usize = 4 << 20;
@@ -46,6 +47,25 @@
     Ok(NoneType)
 }
 
+/// Looks at the heap before each statement. The evaluator by itself looks every thousand instructions, and a list that
+/// doubles needs far fewer to fill a machine.
+struct Heap;
+
+impl<'e> BeforeStmtFuncDyn<'e> for Heap {
+    fn call<'v>(
+        &mut self,
+        _: FileSpanRef,
+        _: bool,
+        eval: &mut Evaluator<'v, '_, 'e>,
+    ) -> starlark::Result<()> {
+        if eval.heap().allocated_bytes() > MOST_HEAP {
+            let what = format!("it holds more than {MOST_HEAP} bytes");
+            return Err(starlark::Error::new_other(anyhow::anyhow!(what)));
+        }
+        Ok(())
+    }
+}
+
 #[starlark_module]
 fn functions(builder: &mut GlobalsBuilder) {
     fn gateway<'v>(
@@ -155,15 +175,22 @@
     };
     let script = AstModule::parse(file, text, &dialect).map_err(problem)?;
     let calls = Calls::default();
-    Module::with_temp_heap(|module| {
-        let mut eval = Evaluator::new(&module);
-        eval.extra = Some(&calls);
-        eval.set_max_tick_count(MOST_TICKS)?;
-        eval.set_max_heap_size(MOST_HEAP)?;
-        eval.set_max_callstack_size(100)?;
-        eval.eval_module(script, &globals())?;
-        starlark::Result::Ok(())
-    })
-    .map_err(problem)?;
+    let evaluation = || {
+        Module::with_temp_heap(|module| {
+            let mut eval = Evaluator::new(&module);
+            eval.extra = Some(&calls);
+            eval.set_max_tick_count(MOST_TICKS)?;
+            eval.set_max_heap_size(MOST_HEAP)?;
+            eval.set_max_callstack_size(100)?;
+            eval.before_stmt_for_dap(BeforeStmtFunc::from_dyn(Box::new(Heap)));
+            eval.eval_module(script, &globals())?;
+            starlark::Result::Ok(())
+        })
+    };
+    // The interpreter panics on a single value of some gigabytes, which one expression can ask for.
+    match std::panic::catch_unwind(std::panic::AssertUnwindSafe(evaluation)) {
+        Ok(evaluated) => evaluated.map_err(problem)?,
+        Err(_) => return Err(whole("a value in it is too large".into())),
+    }
     Ok(calls.0.into_inner())
 }
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,105 @@
+//! Settings as people write them: understood, or every problem named with its place.
+
+use umbertray_config::{Document, Problem, read};
+
+const GOOD: &str = r#"
+gateway(listen = ["127.0.0.1:0", "[::1]:0"], list = "127.0.0.1:7000", gateways = 3)
+op_type("get", target_latency = 100 * ms, op_timeout = 1, utility = 3)
+op_type("put", target_latency = 0.2, op_timeout = 2, utility = 2, repeats = "deduplicated", dedup_span = 5, in_order = True)
+request(["read", "status"], up_to = 64 * KiB, op_type = "get")
+request(["read", "status"], op_type = "put")
+request(["write", "zero", "trim", "flush"], op_type = "put")
+plan("small", rate = 100)
+plan("capped", rate = 100, weight = 2, reserve = 20, limit = 50, limit_burst = 70, limit_slack = 7)
+[volume("v%d" % n, size = 1 * MiB, plan = "small") for n in range(3)]
+volume("w", size = 512, plan = "capped", gateways = 2)
+rules(further_free = 2, further_share = 0.1, further_span = 10)
+"#;
+
+fn problems(text: &str) -> Vec<Problem> {
+    read("s.star", text.into()).expect_err("it is wrong")
+}
+
+/// The good script with one line changed; the problems as line, and text.
+fn with(from: &str, to: &str) -> Vec<String> {
+    assert!(GOOD.contains(from), "{from}");
+    problems(&GOOD.replacen(from, to, 1)).iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn what_is_printed_reads_back_to_the_same() {
+    let document: Document = read("s.star", GOOD.into()).expect("it is right");
+    assert_eq!(document.settings.volumes.len(), 4);
+    assert_eq!(document.settings.op_types[0].target_latency, std::time::Duration::from_millis(100));
+    assert_eq!(read("again", document.as_script()), Ok(document));
+}
+
+#[test]
+fn each_problem_is_named_with_its_place() {
+    for (from, to, wanted) in [
+        (
+            "op_timeout = 1,",
+            "op_timeout = 0.05,",
+            "s.star:3:1: op_type: op_timeout 50ms is under target_latency 100ms",
+        ),
+        ("utility = 3", "utilty = 3", "s.star:3:1: op_type: unknown argument utilty"),
+        ("utility = 3", "utility = -1", "s.star:3:1: op_type: utility = -1 is out of range"),
+        ("utility = 3", "utility = \"much\"", "s.star:3:1: op_type: utility = \"much\" is not a number"),
+        ("op_type(\"put\"", "op_type(\"get\"", "s.star:4:1: op_type: the name \"get\" is taken"),
+        ("dedup_span = 5, ", "", "s.star:4:1: op_type: dedup_span is missing"),
+        ("in_order = True", "in_order = 1", "s.star:4:1: op_type: in_order = 1 is neither True nor False"),
+        ("op_type = \"get\"", "op_type = \"got\"", "s.star:5:1: request: there is no op type \"got\""),
+        (
+            "[\"read\", \"status\"], up_to",
+            "[\"reed\"], up_to",
+            "s.star:5:1: request: \"reed\" is none of read",
+        ),
+        (", \"flush\"]", "]", "s.star: no request rule without up_to covers \"flush\""),
+        ("rate = 100)", "rate = 100, reserve = 200)", "s.star:8:1: plan: reserve 200 is over rate 100"),
+        ("limit = 50", "limit = 10", "s.star:9:1: plan: limit 10 is under reserve 20"),
+        ("limit = 50, ", "", "s.star:9:1: plan: limit_burst and limit_slack go with limit only"),
+        ("plan = \"small\")", "plan = \"smal\")", "s.star:10:2: volume: there is no plan \"smal\""),
+        ("size = 512", "size = 700", "s.star:11:1: volume: size = 700 is not a multiple of 512"),
+        (
+            "further_free = 2, ",
+            "",
+            "s.star:12:1: rules: further_free, further_share and further_span go together",
+        ),
+        ("127.0.0.1:7000", "nowhere", "s.star:2:1: gateway: list = \"nowhere\" is not an address and port"),
+        (
+            "rules(",
+            "bounds(bytes = 65536, bytes_a_session = 131072)\nrules(",
+            "s.star:12:1: bounds: request_bytes",
+        ),
+        ("rules(", "rules()\nrules(", "s.star:13:1: rules: is called twice"),
+        ("rules(", "day(length = 1)\nrules(", "s.star:12:1: day: does not belong in settings"),
+    ] {
+        let found = with(from, to);
+        assert!(found.iter().any(|problem| problem.starts_with(wanted)), "{wanted}\n{found:#?}");
+    }
+}
+
+#[test]
+fn all_problems_are_found_at_once_and_broken_scripts_have_a_place() {
+    let three =
+        "plan(\"p\")\nop_type(\"t\", target_latency = 1, op_timeout = 1, utility = 0)\ngateway(list = 3)\n";
+    assert!(problems(three).len() >= 5, "{:?}", problems(three));
+    let broken = problems("plan(\"p\", rate = 1)\nplan(\n");
+    assert!(broken[0].line >= 2, "{broken:?}");
+    let unknown = problems("plan(\"p\", rate = 1)\nplant(\"q\")\n");
+    assert!(unknown[0].line == 2 && unknown[0].what.contains("plant"), "{unknown:?}");
+    let failing = problems("x = 1\ny = [1][5]\n");
+    assert_eq!(failing[0].line, 2, "{failing:?}");
+}
+
+#[test]
+fn scripts_that_loop_or_grow_without_end_are_stopped() {
+    let looping = "def f():\n  n = 0\n  for i in range(1000000000):\n    n += i\n  return n\nf()\n";
+    let growing = "def f():\n  x = [1]\n  for i in range(60):\n    x = x + x\n  return x\nf()\n";
+    let deep = "def f(n):\n  return f(n + 1)\nf(0)\n";
+    let text = "def f():\n  x = \"abc\"\n  for i in range(60):\n    x = x + x\nf()\n";
+    for script in [looping, growing, deep, text] {
+        let found = problems(script);
+        assert_eq!(found.len(), 1, "{found:?}");
+    }
+}
--- /dev/null
+++ b/crates/nbd/tests/session.rs
@@ -0,0 +1,280 @@
+//! Negotiation and transmission by bytes alone: the protocol's ways, and what a bad peer may send.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use quickcheck::{Gen, QuickCheck};
+use umbertray_nbd::client::Wish;
+use umbertray_nbd::proto::*;
+use umbertray_nbd::{
+    BlockSizes, Chunk, Client, ClientStep, Command, Errno, Export, Exports, Extent, Fault, Limits, Reply,
+    Request, Session, Step,
+};
+
+struct One;
+
+impl Exports for One {
+    fn find(&self, name: &str) -> Option<Export> {
+        let flags = SEND_FLUSH | SEND_FUA | SEND_TRIM | SEND_WRITE_ZEROES | SEND_DF | CAN_MULTI_CONN;
+        let blocks = BlockSizes { minimum: 512, preferred: 4096, maximum: 65536 };
+        let (name, description) = (name.to_string(), "a volume".to_string());
+        (name == "vol").then_some(Export { name, description, size: 1 << 20, flags, blocks })
+    }
+    fn names(&self) -> Vec<String> {
+        vec!["vol".into()]
+    }
+}
+
+fn flags() -> BytesMut {
+    let mut out = BytesMut::new();
+    out.put_u32(u32::from(FLAG_FIXED_NEWSTYLE | FLAG_NO_ZEROES));
+    out
+}
+
+fn option(out: &mut BytesMut, option: u32, data: &[u8]) {
+    out.put_u64(IHAVEOPT);
+    out.put_u32(option);
+    out.put_u32(data.len() as u32);
+    out.put_slice(data);
+}
+
+fn go(name: &str) -> Vec<u8> {
+    let mut data = (name.len() as u32).to_be_bytes().to_vec();
+    data.extend_from_slice(name.as_bytes());
+    data.extend_from_slice(&[0, 0]);
+    data
+}
+
+/// All steps that the input comes to, in pieces of so many bytes, and what the session wrote.
+fn feed(session: &mut Session, input: &[u8], piece: usize) -> (Vec<Step>, Result<(), Fault>, Bytes) {
+    let (mut buffer, mut steps) = (BytesMut::new(), Vec::new());
+    for part in input.chunks(piece) {
+        buffer.put_slice(part);
+        loop {
+            match session.receive(&mut buffer, &One) {
+                Ok(Step::More) => break,
+                Ok(Step::Pending { .. }) => {}
+                Ok(step) => steps.push(step),
+                Err(fault) => return (steps, Err(fault), session.output().split().freeze()),
+            }
+        }
+    }
+    (steps, Ok(()), session.output().split().freeze())
+}
+
+/// Kinds of the option replies in an output after its greeting.
+fn option_replies(mut out: Bytes) -> Vec<(u32, u32)> {
+    out.advance(18);
+    let mut replies = Vec::new();
+    while out.len() >= 20 && out[..8] == OPTION_REPLY.to_be_bytes() {
+        out.advance(8);
+        replies.push((out.get_u32(), out.get_u32()));
+        let length = out.get_u32() as usize;
+        out.advance(length);
+    }
+    replies
+}
+
+/// A session in transmission.
+fn attached(structured: bool) -> Session {
+    let mut session = Session::new(Limits::default());
+    let mut input = flags();
+    if structured {
+        option(&mut input, OPT_STRUCTURED_REPLY, &[]);
+        let mut context = go("vol");
+        context.truncate(7);
+        context.extend_from_slice(&1u32.to_be_bytes());
+        context.extend_from_slice(&(BASE_ALLOCATION.len() as u32).to_be_bytes());
+        context.extend_from_slice(BASE_ALLOCATION.as_bytes());
+        option(&mut input, OPT_SET_META_CONTEXT, &context);
+    }
+    option(&mut input, OPT_GO, &go("vol"));
+    let (steps, ended, _) = feed(&mut session, &input, usize::MAX);
+    assert!(matches!(&steps[..], [Step::Attached(export)] if export.name == "vol") && ended.is_ok());
+    session
+}
+
+fn bytes(command: u16, flags: u16, cookie: u64, offset: u64, length: u32) -> BytesMut {
+    let mut out = BytesMut::new();
+    out.put_u32(REQUEST_MAGIC);
+    out.put_u16(flags);
+    out.put_u16(command);
+    out.put_u64(cookie);
+    out.put_u64(offset);
+    out.put_u32(length);
+    out
+}
+
+#[test]
+fn a_negotiation_goes_on_past_what_is_unknown_or_wrong() {
+    let mut input = flags();
+    option(&mut input, 4711, b"what");
+    option(&mut input, OPT_LIST, b"junk");
+    option(&mut input, OPT_LIST, &[]);
+    option(&mut input, OPT_INFO, &go("nothing"));
+    option(&mut input, OPT_INFO, &[0, 0, 0, 99, 1]);
+    option(&mut input, OPT_SET_META_CONTEXT, &[0, 0, 0, 0, 0, 0, 0, 0]);
+    option(&mut input, OPT_STRUCTURED_REPLY, &[]);
+    option(&mut input, OPT_INFO, &go("vol"));
+    option(&mut input, OPT_GO, &go("vol"));
+    for piece in [1, 7, usize::MAX] {
+        let mut session = Session::new(Limits::default());
+        let (steps, ended, out) = feed(&mut session, &input, piece);
+        assert!(ended.is_ok() && steps.len() == 1 && session.structured(), "{steps:?}");
+        let kinds: Vec<u32> = option_replies(out).into_iter().map(|(_, kind)| kind).collect();
+        let facts = [REP_INFO, REP_INFO, REP_ACK];
+        let wrong = [REP_ERR_UNSUP, REP_ERR_INVALID, REP_SERVER, REP_ACK, REP_ERR_UNKNOWN, REP_ERR_INVALID];
+        assert_eq!(kinds, [&wrong[..], &[REP_ERR_INVALID, REP_ACK], &facts, &facts].concat());
+    }
+}
+
+#[test]
+fn export_name_pads_unless_asked_not_to_and_abort_ends() {
+    for (client, padding) in [(1u32, 124), (3, 0)] {
+        let mut input = BytesMut::from(&client.to_be_bytes()[..]);
+        option(&mut input, OPT_EXPORT_NAME, b"vol");
+        let mut session = Session::new(Limits::default());
+        let (steps, _, out) = feed(&mut session, &input, usize::MAX);
+        assert!(matches!(steps[..], [Step::Attached(_)]));
+        assert_eq!(out.len(), 18 + 10 + padding);
+    }
+    let mut input = flags();
+    option(&mut input, OPT_ABORT, &[]);
+    let (steps, _, out) = feed(&mut Session::new(Limits::default()), &input, usize::MAX);
+    assert_eq!((steps, option_replies(out)), (vec![Step::Goodbye], vec![(OPT_ABORT, REP_ACK)]));
+}
+
+#[test]
+fn a_peer_that_breaks_the_protocol_is_named_its_fault() {
+    let fault = |input: &[u8]| feed(&mut Session::new(Limits::default()), input, 5).1.unwrap_err();
+    assert_eq!(fault(&[0, 0, 0, 9]), Fault::ClientFlags(9));
+    let mut input = flags();
+    input.put_slice(&[7; 16]);
+    assert!(matches!(fault(&input), Fault::Magic { place: "an option", .. }));
+    let mut input = flags();
+    option(&mut input, OPT_LIST, &[0; 9000]);
+    assert!(matches!(fault(&input), Fault::LongOption { length: 9000, .. }));
+    let mut input = flags();
+    (0..200).for_each(|_| option(&mut input, OPT_LIST, &[]));
+    assert_eq!(fault(&input), Fault::ManyOptions(101));
+    let mut input = flags();
+    option(&mut input, OPT_EXPORT_NAME, b"other");
+    assert_eq!(fault(&input), Fault::NoSuchExport("other".into()));
+    let fault = |input: &[u8]| feed(&mut attached(true), input, 5).1.unwrap_err();
+    assert!(matches!(fault(&[1; 28]), Fault::Magic { place: "a request", .. }));
+    let bound = 65536;
+    assert_eq!(fault(&bytes(1, 0, 1, 0, 65537)), Fault::LongPayload { length: 65537, bound });
+    let twice = [bytes(0, 0, 5, 0, 512), bytes(0, 0, 5, 0, 512)].concat();
+    assert_eq!(fault(&twice), Fault::ReusedCookie(5));
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_and_the_session_goes_on() {
+    let cases = [
+        (99, 0, 0, 512, Errno::Inval),
+        (0, CMD_FLAG_FUA, 0, 512, Errno::Inval),
+        (0, 0, 100, 512, Errno::Inval),
+        (0, 0, 0, 0, Errno::Inval),
+        (0, 0, 1 << 20, 512, Errno::Inval),
+        (0, 0, u64::MAX - 511, 512, Errno::Inval),
+        (0, 0, 0, 65536 + 512, Errno::Inval),
+        (4, 0, 1 << 20, 512, Errno::NoSpc),
+        (6, CMD_FLAG_REQ_ONE, 0, 512, Errno::Inval),
+        (3, 0, 512, 0, Errno::Inval),
+    ];
+    let mut session = attached(true);
+    for (cookie, (command, flags, offset, length, wanted)) in cases.into_iter().enumerate() {
+        let input = bytes(command, flags, cookie as u64, offset, length);
+        let (steps, ended, _) = feed(&mut session, &input, 9);
+        let refused = matches!(&steps[..], [Step::Refused { errno, .. }] if *errno == wanted);
+        assert!(refused && ended.is_ok(), "{command} {offset}: {steps:?}");
+    }
+    let (steps, ..) = feed(&mut session, &bytes(0, CMD_FLAG_DF, 0, 0, 512), 1);
+    assert!(matches!(&steps[..], [Step::Request(_)]), "a cookie of a refused request is free again");
+    let (steps, ..) = feed(&mut attached(false), &bytes(7, 0, 1, 0, 512), 28);
+    assert!(matches!(&steps[..], [Step::Refused { .. }]), "no context was selected");
+    session.shut_down();
+    let (steps, ..) = feed(&mut session, &bytes(0, 0, 9, 0, 512), 28);
+    assert!(matches!(&steps[..], [Step::Refused { errno: Errno::Shutdown, .. }]));
+    let (steps, ..) = feed(&mut session, &bytes(2, 0, 9, 0, 0), 28);
+    assert_eq!(steps, [Step::Goodbye]);
+}
+
+/// Moves bytes between the two ends until neither has anything to say.
+fn shake(client: &mut Client, session: &mut Session) -> ClientStep {
+    let (mut to_client, mut to_server) = (BytesMut::new(), BytesMut::new());
+    loop {
+        to_client.put_slice(&session.output().split());
+        let step = client.receive(&mut to_client).expect("a good server");
+        to_server.put_slice(&client.output().split());
+        if step != ClientStep::More {
+            return step;
+        }
+        assert_ne!(session.receive(&mut to_server, &One), Ok(Step::Request(read(0))));
+    }
+}
+
+fn read(cookie: u64) -> Request {
+    Request { cookie, command: Command::Read, flags: 0, offset: 0, length: 1024, payload: Bytes::new() }
+}
+
+#[test]
+fn both_ends_understand_each_other() {
+    let wish = |structured| Wish::Export { name: "vol".into(), structured };
+    let mut session = Session::new(Limits::default());
+    assert_eq!(shake(&mut Client::new(Wish::List), &mut session), ClientStep::Names(vec!["vol".into()]));
+    for structured in [false, true] {
+        let (mut client, mut session) = (Client::new(wish(structured)), Session::new(Limits::default()));
+        let ready = shake(&mut client, &mut session);
+        assert!(matches!(&ready, ClientStep::Ready(export) if export.size == 1 << 20), "{ready:?}");
+        client.request(&read(1));
+        let mut input = client.output().split();
+        assert_eq!(session.receive(&mut input, &One), Ok(Step::Pending { bytes: 1024 }));
+        assert_eq!(session.receive(&mut input, &One), Ok(Step::Request(read(1))));
+        let chunks = [
+            Chunk::Data { offset: 512, data: Bytes::from_static(&[7; 512]) },
+            Chunk::Hole { offset: 0, length: 512 },
+            Chunk::BlockStatus { context: 1, extents: vec![Extent { length: 9, flags: 3 }] },
+            Chunk::Error { errno: Errno::Io, message: "aborted".into(), offset: Some(512) },
+            Chunk::None,
+        ];
+        if !structured {
+            session.simple(1);
+            let mut out = session.output().split();
+            out.put_slice(&[3; 1024]);
+            let data = Bytes::from_static(&[3; 1024]);
+            let whole = Reply::Simple { cookie: 1, error: None, data };
+            assert_eq!(client.receive(&mut out), Ok(ClientStep::Reply(whole)));
+            continue;
+        }
+        for (i, chunk) in chunks.iter().enumerate() {
+            let done = i + 1 == chunks.len();
+            let tail = session.chunk(1, chunk.clone(), done);
+            let mut out = session.output().split();
+            tail.into_iter().for_each(|tail| out.put_slice(&tail));
+            let wanted = Reply::Chunk { cookie: 1, chunk: chunk.clone(), done };
+            assert_eq!(client.receive(&mut out), Ok(ClientStep::Reply(wanted)));
+        }
+        assert_eq!(session.open(), 0);
+    }
+}
+
+#[test]
+fn no_bytes_panic_either_end() {
+    fn survives(noise: Vec<u8>, transmission: bool) -> bool {
+        let mut session = if transmission { attached(true) } else { Session::new(Limits::default()) };
+        let mut input = if transmission { BytesMut::new() } else { flags() };
+        input.put_slice(&noise);
+        _ = feed(&mut session, &input, 3);
+        let mut client = Client::new(Wish::Export { name: "vol".into(), structured: true });
+        shake(&mut client, &mut Session::new(Limits::default()));
+        let mut replies = BytesMut::new();
+        replies.put_u32(STRUCTURED_REPLY_MAGIC);
+        replies.put_u16(0);
+        replies.put_u16(u16::from(noise.first().copied().unwrap_or(0) % 8) | 1 << 15);
+        replies.put_u64(1);
+        replies.put_u32(noise.len() as u32);
+        replies.put_slice(&noise);
+        _ = client.receive(&mut replies);
+        true
+    }
+    QuickCheck::new().rng(Gen::new(200)).tests(500).quickcheck(survives as fn(Vec<u8>, bool) -> bool);
+}
--- /dev/null
+++ b/crates/routing/tests/world.rs
@@ -0,0 +1,393 @@
+//! Two cores, three stores and one directory in virtual time, with outcomes, breaks and losses drawn at random: each
+//! request gets one final answer in time, and each extent one place.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quickcheck::{Gen, QuickCheck};
+use umbertray_routing::settings::*;
+use umbertray_routing::{
+    Core, Input, Output, Part, Request, RequestId, SessionId, Settings, StoreId, Verdict,
+};
+use umbertray_store_wire::list::{Entry, FromList, State, ToList};
+use umbertray_store_wire::store::{Answer, Code, Dispatch, FromStore, ToStore, Work};
+
+const EXTENT: u32 = 8192;
+const TIMEOUT: Duration = Duration::from_millis(1000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn settings() -> Settings {
+    let op_type = |name: &str, repeats, in_order| OpType {
+        name: name.into(),
+        target_latency: ms(200),
+        op_timeout: TIMEOUT,
+        utility: 1.0,
+        repeats,
+        in_order,
+    };
+    let rule = |works: &[Work], op_type| TypeRule { works: works.into(), up_to: None, op_type };
+    Settings {
+        op_types: vec![
+            op_type("get", Repeats::Replayable, false),
+            op_type("put", Repeats::Replayable, true),
+            op_type("once", Repeats::OnceOnly, false),
+        ],
+        type_rules: vec![
+            rule(&[Work::Read, Work::Status], 0),
+            rule(&[Work::Write, Work::Flush], 1),
+            rule(&[Work::Zero], 2),
+        ],
+        plans: vec![Plan { name: "p".into(), weight: 1.0, rate: 1000.0, reserve: 0.0, limit: None }],
+        volumes: vec![Volume { name: "v".into(), size: 1 << 20, plan: 0, gateways: 2 }],
+        gateways: 2,
+        extent_bytes: EXTENT,
+        unit_bytes: 4096,
+        most_units: 4,
+        mean_units: 1.5,
+        max_dispatches: 3,
+        max_retry_after: ms(500),
+        connect_timeout: ms(100),
+        tick: ms(2),
+        rules: Rules {
+            drain_grace: ms(500),
+            cold_from: 0.5,
+            cold_time: ms(2000),
+            fall_multiple: 2.0,
+            fall_time: ms(500),
+            cold_units: 50.0,
+            order_pause: ms(100),
+            further: None,
+            ask_within: ms(1000),
+        },
+        bounds: Bounds {
+            sessions: 10,
+            requests_a_session: 100,
+            bytes: 1 << 20,
+            bytes_a_session: 1 << 20,
+            request_bytes: 1 << 16,
+            places: 3,
+        },
+    }
+}
+
+struct Asked {
+    work: Work,
+    offset: u64,
+    length: u32,
+    at: Duration,
+    covered: BTreeMap<u64, u64>,
+    answer: Option<Verdict>,
+    closed: bool,
+}
+
+struct Side {
+    core: Core,
+    wake: Duration,
+    out: Vec<(StoreId, Dispatch)>,
+    asked: HashMap<RequestId, Asked>,
+    /// Questions that the directory has not got to.
+    questions: Vec<ToList>,
+}
+
+struct World {
+    now: Duration,
+    sides: Vec<Side>,
+    places: HashMap<u64, u32>,
+    next: u64,
+}
+
+impl World {
+    fn new() -> World {
+        let now = Duration::from_secs(1000);
+        let side = |seed| Side {
+            core: Core::new(Arc::new(settings()), seed, now),
+            wake: now,
+            out: Vec::new(),
+            asked: HashMap::new(),
+            questions: Vec::new(),
+        };
+        let mut world = World { now, sides: vec![side(1), side(2)], places: HashMap::new(), next: 0 };
+        (0..2).for_each(|side| world.tell(side, Vec::new()));
+        (0..2).for_each(|side| world.directory(side));
+        world
+    }
+
+    fn tell(&mut self, side: usize, inputs: Vec<Input>) {
+        let mut inputs = inputs;
+        loop {
+            let outputs = self.sides[side].core.handle(self.now, std::mem::take(&mut inputs));
+            for output in outputs {
+                self.see(side, output, &mut inputs);
+            }
+            if inputs.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn see(&mut self, side: usize, output: Output, inputs: &mut Vec<Input>) {
+        let at = &mut self.sides[side];
+        match output {
+            Output::Reply { id, part, .. } => {
+                let asked = at.asked.get_mut(&id).expect("a reply to a request");
+                assert!(asked.answer.is_none(), "nothing follows the final answer");
+                match part {
+                    Part::Data { offset, data } => asked.cover(offset, data.len() as u64),
+                    Part::Hole { offset, length } => asked.cover(offset, length.into()),
+                    Part::Status(stretches) => {
+                        let total: u64 = stretches.iter().map(|s| u64::from(s.length)).sum();
+                        asked.cover(asked.offset, total);
+                    }
+                    Part::Final(verdict) => {
+                        assert!(self.now <= asked.at + TIMEOUT, "in time");
+                        asked.answer = Some(verdict);
+                        let reads = matches!(asked.work, Work::Read | Work::Status);
+                        if verdict == Verdict::Acked && reads {
+                            let covered: u64 = asked.covered.values().sum();
+                            assert_eq!(covered, u64::from(asked.length), "an acked read is whole");
+                        }
+                    }
+                }
+            }
+            Output::Link { store, .. } => {
+                let lasting = u64::from(store.0) + 10;
+                inputs.push(Input::Linked { store, lasting, shard: store.0, clock: 5 });
+            }
+            Output::Unlink { .. } | Output::Log(_) => {}
+            Output::Store { store, message: ToStore::Dispatch(dispatch), .. } => {
+                if dispatch.work != Work::Flush {
+                    assert_eq!(self.places.get(&dispatch.extent), Some(&store.0), "one place an extent");
+                }
+                if let Some(mark) = dispatch.data.first_chunk::<8>() {
+                    let id = RequestId(SessionId(side as u64), u64::from_be_bytes(*mark));
+                    let asked = &at.asked[&id];
+                    assert!(asked.answer.is_none() && !asked.closed, "nothing is sent after the end");
+                }
+                at.out.push((store, dispatch));
+            }
+            Output::Store { .. } => {}
+            Output::List(question) => at.questions.push(question),
+            Output::Wake(at_time) => at.wake = at_time,
+            Output::Fatal(why) => panic!("{why}"),
+        }
+    }
+
+    /// The directory answers all that one side has asked.
+    fn directory(&mut self, side: usize) {
+        for question in std::mem::take(&mut self.sides[side].questions) {
+            let answer = match question {
+                ToList::Subscribe | ToList::Fetch => FromList::Full((0..3).map(entry).collect()),
+                ToList::Lookup { token, extent, .. } => {
+                    FromList::Place { token, shard: self.places.get(&extent).copied() }
+                }
+                ToList::Claim { token, extent, shard, .. } => {
+                    FromList::Place { token, shard: Some(*self.places.entry(extent).or_insert(shard)) }
+                }
+                ToList::Shards { token, .. } => {
+                    let mut shards: Vec<u32> = self.places.values().copied().collect();
+                    shards.sort_unstable();
+                    shards.dedup();
+                    FromList::Shards { token, shards }
+                }
+                ToList::Hello { .. } => continue,
+            };
+            self.tell(side, vec![Input::List(answer)]);
+        }
+    }
+
+    fn ask(&mut self, side: usize, work: Work, block: u64, blocks: u32) {
+        self.next += 1;
+        let id = RequestId(SessionId(side as u64), self.next);
+        let (offset, length) = if work == Work::Flush { (0, 0) } else { (block * 4096, blocks * 4096) };
+        let mut data = vec![0; if work == Work::Write { length as usize } else { 0 }];
+        data.chunks_mut(4096).for_each(|block| block[..8].copy_from_slice(&self.next.to_be_bytes()));
+        let asked = Asked {
+            work,
+            offset,
+            length,
+            at: self.now,
+            covered: BTreeMap::new(),
+            answer: None,
+            closed: false,
+        };
+        self.sides[side].asked.insert(id, asked);
+        let (data, hold, begun) = (Bytes::from(data), Arc::new(()), self.now);
+        let request = Request { id, volume: 0, work, offset, length, durable: false, data, begun, hold };
+        self.tell(side, vec![Input::Request(request)]);
+    }
+
+    fn answer(&mut self, side: usize, which: usize, how: usize) {
+        if self.sides[side].out.is_empty() {
+            return;
+        }
+        let which = which % self.sides[side].out.len();
+        let (store, dispatch) = self.sides[side].out.remove(which);
+        let (number, offset, half) = (dispatch.number, dispatch.offset, dispatch.length / 2);
+        let data = |offset, length: u32| {
+            let data = Bytes::from(vec![1; length as usize]);
+            Input::Store { store, message: FromStore::Data { number, offset, data } }
+        };
+        let end = |code| {
+            let answer = Answer {
+                number,
+                code,
+                clock: 9,
+                used: None,
+                elsewhere: 0.0,
+                report: Vec::new(),
+                stretches: Vec::new(),
+            };
+            Input::Store { store, message: FromStore::Answer(answer) }
+        };
+        let mut inputs = Vec::new();
+        if dispatch.work == Work::Read && how < 12 {
+            inputs.push(data(offset, half));
+            if how < 9 {
+                let length = dispatch.length - half;
+                inputs.push(Input::Store {
+                    store,
+                    message: FromStore::Hole { number, offset: offset + half, length },
+                });
+            }
+        }
+        inputs.push(match how {
+            0..9 => end(Ok(Code::Acked)),
+            9 => end(Ok(Code::Error)),
+            10 => end(Ok(Code::Full)),
+            11 => end(Ok(Code::Fenced)),
+            12 => end(Err(77)),
+            13 => end(Ok(Code::Cancelled)),
+            // The link breaks with all that is out on it.
+            14 => {
+                self.sides[side].out.retain(|(other, _)| *other != store);
+                Input::Unlinked { store }
+            }
+            // The answer is lost.
+            _ => return,
+        });
+        self.tell(side, inputs);
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        loop {
+            let first = (0..2).min_by_key(|side| self.sides[*side].wake).expect("two sides");
+            let wake = self.sides[first].wake;
+            if wake > end {
+                break;
+            }
+            self.now = self.now.max(wake);
+            self.sides[first].wake = Duration::MAX;
+            self.tell(first, vec![Input::Woken]);
+        }
+        self.now = end;
+    }
+}
+
+impl Asked {
+    fn cover(&mut self, offset: u64, length: u64) {
+        let end = self.offset + u64::from(self.length);
+        assert!(offset >= self.offset && offset + length <= end, "within the range");
+        let before = self.covered.range(..=offset).next_back();
+        assert!(before.is_none_or(|(at, length)| at + length <= offset), "no part overlaps another");
+        self.covered.insert(offset, length);
+    }
+}
+
+fn entry(shard: u32) -> Entry {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Entry { store: u64::from(shard) + 10, address, shard, zone: 0, state: State::Ready, start: 1, age: None }
+}
+
+fn day(steps: &[u16]) -> World {
+    let mut world = World::new();
+    for step in steps {
+        let bits = usize::from(*step);
+        let side = bits % 2;
+        match bits / 2 % 16 {
+            0..6 => {
+                let work = [Work::Read, Work::Write, Work::Write, Work::Zero, Work::Flush, Work::Read]
+                    [bits / 32 % 6];
+                world.ask(side, work, (bits / 256 % 16) as u64, 1 + (bits / 4096 % 4) as u32);
+            }
+            6..12 => world.answer(side, bits / 512, bits / 32 % 16),
+            12 => world.directory(side),
+            13 => world.pass(ms((bits / 32 % 64) as u64)),
+            14 if bits / 32 % 8 == 0 => {
+                for asked in world.sides[side].asked.values_mut() {
+                    asked.closed |= asked.answer.is_none();
+                }
+                world.tell(side, vec![Input::Closed(SessionId(side as u64))]);
+            }
+            14 => world.directory(side),
+            _ if bits / 32 % 8 == 0 => world.tell(side, vec![Input::ListLost]),
+            _ => world.directory(side),
+        }
+    }
+    world.pass(ms(1500));
+    world
+}
+
+#[test]
+fn each_request_has_one_final_answer_in_time_and_each_extent_one_place() {
+    fn keeps(steps: Vec<u16>) -> bool {
+        day(&steps).sides.iter().all(|side| {
+            let answered = |asked: &Asked| asked.closed != asked.answer.is_some();
+            side.core.open() == 0 && side.asked.values().all(answered)
+        })
+    }
+    QuickCheck::new().rng(Gen::new(400)).tests(300).quickcheck(keeps as fn(Vec<u16>) -> bool);
+}
+
+#[test]
+fn racing_first_writes_leave_one_place_and_the_loser_follows_it() {
+    let mut world = World::new();
+    world.ask(0, Work::Write, 0, 1);
+    world.ask(1, Work::Write, 0, 1);
+    // Both learn that the extent has no place, and only then does either claim.
+    (0..2).for_each(|side| world.directory(side));
+    world.places.insert(0, 2);
+    (0..2).for_each(|side| world.directory(side));
+    for side in 0..2 {
+        world.pass(ms(5));
+        let (store, _) = world.sides[side].out[0];
+        assert_eq!(store.0, 2, "the claim of another won, and both go there");
+        world.answer(side, 0, 0);
+    }
+    assert!(world.sides.iter().all(|side| side.asked.values().all(|a| a.answer == Some(Verdict::Acked))));
+}
+
+#[test]
+fn a_write_given_up_is_not_answered_while_it_may_still_run() {
+    let mut world = World::new();
+    world.ask(0, Work::Write, 0, 1);
+    (0..2).for_each(|_| world.directory(0));
+    world.sides[0].out.clear();
+    // The link breaks with the write's outcome unknown; no store of the shard is left to try again.
+    world.tell(0, vec![Input::Unlinked { store: StoreId(world.places[&0]) }]);
+    let gone = (0..3).map(|shard| Entry { state: State::Gone, ..entry(shard) }).collect();
+    world.tell(0, vec![Input::List(FromList::Full(gone))]);
+    let answer = |world: &World| world.sides[0].asked.values().next().and_then(|asked| asked.answer);
+    world.pass(ms(600));
+    assert_eq!(answer(&world), None, "its fence in time has not passed");
+    world.pass(ms(400));
+    assert!(matches!(answer(&world), Some(Verdict::Throttled { .. })));
+}
+
+#[test]
+fn a_further_dispatch_voids_the_ones_that_may_still_run() {
+    let mut world = World::new();
+    world.ask(0, Work::Write, 0, 1);
+    (0..2).for_each(|_| world.directory(0));
+    let (store, first) = world.sides[0].out.remove(0);
+    world.tell(0, vec![Input::Unlinked { store }]);
+    world.pass(ms(300));
+    let (_, second) = world.sides[0].out.remove(0);
+    assert_eq!((second.op, &second.voids[..]), (first.op, &[first.number][..]));
+    assert!(second.not_after <= 5 + 1_000_000, "by the store's clock, within the client's time");
+}
