--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `umbertray`.
 
 mod demo;
+mod measure;
 mod nbd;
 mod output;
 mod rehearse;
@@ -46,6 +47,8 @@
     StandIn(stand_in::Command),
     /// Plays a scripted day through real gateways and judges it by what crossed the sockets.
     Rehearse(rehearse::Arguments),
+    /// Measures the gateway against a pass-through of the same sockets and codecs, on loopback; a line of JSON a case.
+    Measure(measure::Arguments),
     /// A small NBD client.
     #[command(subcommand)]
     Nbd(nbd::Command),
@@ -76,6 +79,7 @@
         }
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
         Command::Rehearse(arguments) => runtime.block_on(rehearse::run(arguments)),
+        Command::Measure(arguments) => runtime.block_on(measure::run(arguments)),
         Command::Nbd(command) => runtime.block_on(nbd::run(command)),
     };
     // What still waits for a clock or a socket must not hold up the exit.
--- /dev/null
+++ b/crates/cli/tests/sockets/main.rs
@@ -0,0 +1,6 @@
+//! The running gateway through real sockets, against the project's own stand-ins.
+
+mod common;
+mod days;
+mod hard_cases;
+mod sessions;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
-use umbertray_routing::{Core, Hold, Input, Output, Part, RequestId, SessionId, Settings, StoreId};
+use umbertray_routing::{Hold, Host, Input, Output, Part, RequestId, SessionId, Settings, StoreId};
 use umbertray_store_wire::list::ToList;
 use umbertray_store_wire::store::ToStore;
 
@@ -34,7 +34,7 @@
 }
 
 pub struct Hub {
-    core: Core,
+    core: Box<dyn Host>,
     clock: Clock,
     settings: Arc<Settings>,
     run: u64,
@@ -51,7 +51,7 @@
 
 impl Hub {
     pub fn new(
-        core: Core,
+        core: Box<dyn Host>,
         clock: Clock,
         settings: Arc<Settings>,
         list_at: SocketAddr,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinHandle;
-use umbertray_routing::{Core, Settings};
+use umbertray_routing::{Core, Host, Settings};
 
 pub use clock::Clock;
 
@@ -68,9 +68,19 @@
 /// Starts a gateway on the present runtime.
 pub async fn start(settings: Arc<Settings>, options: Options) -> io::Result<Running> {
     let clock = Clock::start();
+    let core = Core::new(settings.clone(), options.seed, clock.now());
+    start_hosting(Box::new(core), clock, settings, options).await
+}
+
+/// Starts a gateway whose loop hosts something else than the core, to measure against.
+pub async fn start_hosting(
+    core: Box<dyn Host>,
+    clock: Clock,
+    settings: Arc<Settings>,
+    options: Options,
+) -> io::Result<Running> {
     let (to_hub, from_all) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
-    let core = Core::new(settings.clone(), options.seed, clock.now());
     // A run's number is never used again, or a store would take its dispatches for those of the run before.
     let run = clock.now().as_nanos() as u64 ^ options.seed.rotate_left(32);
     let longest = settings.op_types.iter().map(|op_type| op_type.op_timeout).max().unwrap_or_default();
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -63,6 +63,10 @@
         kill(Pid::from_raw(id as i32), signal).map_err(io::Error::from)
     }
 
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     pub async fn kill(&mut self) -> io::Result<()> {
         self.child.kill().await
     }
@@ -208,7 +212,7 @@
                 Step::Restart(id) => self.restart(id).await?,
                 Step::Gone(id) => {
                     self.fleet.list.state(id, State::Gone);
-                    self.fleet.kill(id);
+                    self.fleet.kill(id).await;
                 }
                 Step::Replace(id) => self.replace(id, at, &mut steps).await?,
                 Step::Worse(i, times) => {
@@ -257,7 +261,7 @@
         match trouble.kind {
             Kind::Crash => {
                 for id in &stores {
-                    self.fleet.kill(*id).into_iter().for_each(|identity| self.down.push(identity));
+                    self.fleet.kill(*id).await.into_iter().for_each(|identity| self.down.push(identity));
                     steps.push((at + trouble.lasts, Step::Restart(*id)));
                 }
             }
--- a/crates/routing/src/core.rs
+++ b/crates/routing/src/core.rs
@@ -21,7 +21,7 @@
 use crate::split::cuts;
 use crate::timers::{Timer, Timers};
 use crate::verdict::{PieceEnd, Verdict, whole};
-use crate::{Input, Output, Part, Request, RequestId, SessionId};
+use crate::{Host, Input, Output, Part, Request, RequestId, SessionId};
 
 /// A piece that has no place yet is answered so many ticks before its client's time is up: one for this gateway's
 /// timer, one for the reply to be written, one for it to be read, one to spare.
@@ -54,6 +54,29 @@
     report: Report,
 }
 
+impl Host for Core {
+    fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Vec<Output> {
+        self.now = now.max(self.now);
+        inputs.into_iter().for_each(|input| self.take(input));
+        while let Some(timer) = self.timers.due(self.now) {
+            self.ring(timer);
+        }
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            let actions = self.module.handle(self.now, events);
+            actions.into_iter().for_each(|action| self.act(action));
+        }
+        if let Some(at) = self.timers.wake() {
+            self.out.push(Output::Wake(at));
+        }
+        std::mem::take(&mut self.out)
+    }
+}
+
 impl Core {
     /// A core at its start; `now` is on a clock whose zero lies far enough back for any store's start.
     pub fn new(settings: Arc<Settings>, seed: u64, now: Duration) -> Core {
@@ -77,29 +100,6 @@
         }
     }
 
-    /// Requests without their final answer.
-    pub fn open(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Takes what happened at `now` and returns what is to be done, in order.
-    pub fn handle(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
-        self.now = now.max(self.now);
-        inputs.into_iter().for_each(|input| self.take(input));
-        while let Some(timer) = self.timers.due(self.now) {
-            self.ring(timer);
-        }
-        while !self.events.is_empty() {
-            let events = std::mem::take(&mut self.events);
-            let actions = self.module.handle(self.now, events);
-            actions.into_iter().for_each(|action| self.act(action));
-        }
-        if let Some(at) = self.timers.wake() {
-            self.out.push(Output::Wake(at));
-        }
-        std::mem::take(&mut self.out)
-    }
-
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(request) => self.request(request),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -108,6 +108,15 @@
     Final(Verdict),
 }
 
+/// What a gateway's loop hosts: [`Core`], or something that it is measured against.
+pub trait Host: Send + 'static {
+    /// Takes what happened at `now` and returns what is to be done, in order.
+    fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Vec<Output>;
+
+    /// Requests without their final answer.
+    fn open(&self) -> usize;
+}
+
 /// What is to be done, in order.
 pub enum Output {
     Reply {
--- a/crates/routing/tests/world.rs
+++ b/crates/routing/tests/world.rs
@@ -9,7 +9,7 @@
 use quickcheck::{Gen, QuickCheck};
 use umbertray_routing::settings::*;
 use umbertray_routing::{
-    Core, Input, Output, Part, Request, RequestId, SessionId, Settings, StoreId, Verdict,
+    Core, Host, Input, Output, Part, Request, RequestId, SessionId, Settings, StoreId, Verdict,
 };
 use umbertray_store_wire::list::{Entry, FromList, State, ToList};
 use umbertray_store_wire::store::{Answer, Code, Dispatch, FromStore, ToStore, Work};
--- a/crates/standin/src/book.rs
+++ b/crates/standin/src/book.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 /// One thing that a store saw.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -46,11 +47,12 @@
 pub struct Book {
     began: Instant,
     entries: Arc<Mutex<Vec<Entry>>>,
+    written: Arc<Notify>,
 }
 
 impl Default for Book {
     fn default() -> Book {
-        Book { began: Instant::now(), entries: Arc::default() }
+        Book { began: Instant::now(), entries: Arc::default(), written: Arc::default() }
     }
 }
 
@@ -72,6 +74,19 @@
         if let Ok(mut entries) = self.entries.lock() {
             entries.push(Entry { at, store, seen });
         }
+        self.written.notify_waiters();
+    }
+
+    /// Waits until so many entries fit; the first that made it so.
+    pub async fn until(&self, count: usize, fits: impl Fn(&Entry) -> bool) -> Entry {
+        loop {
+            let written = self.written.notified();
+            let found = self.entries().into_iter().filter(&fits).nth(count.saturating_sub(1));
+            match found {
+                Some(entry) => return entry,
+                None => written.await,
+            }
+        }
     }
 
     /// All that was written so far, in order.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -89,8 +89,11 @@
     }
 
     /// Ends a store's process at once; the list is not told. What is needed to start it again comes back.
-    pub fn kill(&mut self, id: u64) -> Option<Identity> {
-        self.stores.remove(&id).map(|running| running.identity().clone())
+    pub async fn kill(&mut self, id: u64) -> Option<Identity> {
+        match self.stores.remove(&id) {
+            Some(running) => Some(running.kill().await),
+            None => None,
+        }
     }
 
     /// Starts a killed store again, cold, where it listened before, and tells the list.
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use umbertray_store_wire::store::{Answer, Code, FromStore, ToStore, Work};
 use umbertray_store_wire::{Message, next_frame};
@@ -35,8 +35,14 @@
     pub seed: u64,
 }
 
+enum Out {
+    Message(FromStore),
+    /// All before it has been written.
+    Written(oneshot::Sender<()>),
+}
+
 enum ToStoreTask {
-    Opened(u64, u64, mpsc::UnboundedSender<FromStore>),
+    Opened(u64, u64, mpsc::UnboundedSender<Out>),
     Frame(u64, ToStore),
     Closed(u64),
     Fault(Fault),
@@ -71,6 +77,16 @@
         self.tasks[0].is_finished()
     }
 
+    /// Ends it as a kill would, and returns when its sockets are closed.
+    pub async fn kill(mut self) -> Identity {
+        let identity = self.identity.clone();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        for task in &mut self.tasks {
+            _ = task.await;
+        }
+        identity
+    }
+
     pub fn identity(&self) -> &Identity {
         &self.identity
     }
@@ -78,9 +94,6 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        if !self.is_down() {
-            self.identity.book.write(self.identity.store, Seen::Down);
-        }
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
@@ -121,17 +134,21 @@
 async fn serve(link: u64, stream: TcpStream, to_task: mpsc::UnboundedSender<ToStoreTask>) {
     _ = stream.set_nodelay(true);
     let (mut reader, mut writer) = stream.into_split();
-    let (to_link, mut from_task) = mpsc::unbounded_channel::<FromStore>();
+    let (to_link, mut from_task) = mpsc::unbounded_channel::<Out>();
     let writing = async move {
         let mut messages = Vec::new();
         while from_task.recv_many(&mut messages, 64).await > 0 {
-            let mut out = BytesMut::new();
+            let (mut out, mut told) = (BytesMut::new(), Vec::new());
             for message in messages.drain(..) {
-                out.extend_from_slice(&message.frame());
+                match message {
+                    Out::Message(message) => out.extend_from_slice(&message.frame()),
+                    Out::Written(tell) => told.push(tell),
+                }
             }
             if writer.write_all(&out).await.is_err() {
                 return;
             }
+            told.into_iter().for_each(|tell| _ = tell.send(()));
         }
     };
     let to_reader = to_task.clone();
@@ -160,18 +177,25 @@
     _ = to_task.send(ToStoreTask::Closed(link));
 }
 
+/// The store's process: its end, however it comes, is written down once.
 struct Task {
     identity: Identity,
     model: Model,
     began: Instant,
     /// The store's own clock starts anywhere.
     offset: u64,
-    links: HashMap<u64, (u64, mpsc::UnboundedSender<FromStore>)>,
+    links: HashMap<u64, (u64, mpsc::UnboundedSender<Out>)>,
     chance: StdRng,
     chunks_to_live: Option<u32>,
     down: bool,
 }
 
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.identity.book.write(self.identity.store, Seen::Down);
+    }
+}
+
 impl Task {
     fn new(identity: Identity, cold: bool) -> Task {
         let mut chance = StdRng::seed_from_u64(identity.seed ^ identity.store);
@@ -213,7 +237,12 @@
             }
             self.advance();
         }
-        self.identity.book.write(self.identity.store, Seen::Down);
+        // One that dies in the midst of a read has sent what it read so far.
+        for (_, sender) in self.links.values().filter(|_| self.chunks_to_live == Some(0)) {
+            let (tell, written) = oneshot::channel();
+            _ = sender.send(Out::Written(tell));
+            _ = tokio::time::timeout(Duration::from_secs(1), written).await;
+        }
     }
 
     fn take(&mut self, message: ToStoreTask) {
@@ -221,7 +250,7 @@
             ToStoreTask::Opened(link, run, sender) => {
                 if !self.model.fault.mute {
                     let (store, shard, clock) = (self.identity.store, self.identity.shard, self.clock());
-                    _ = sender.send(FromStore::Welcome { store, shard, clock });
+                    _ = sender.send(Out::Message(FromStore::Welcome { store, shard, clock }));
                 }
                 self.links.insert(link, (run, sender));
             }
@@ -275,7 +304,7 @@
 
     fn say(&self, link: u64, message: FromStore) {
         if let Some((_, sender)) = self.links.get(&link).filter(|_| !self.model.fault.mute) {
-            _ = sender.send(message);
+            _ = sender.send(Out::Message(message));
         }
     }
 
--- a/crates/store-wire/tests/frames.rs
+++ b/crates/store-wire/tests/frames.rs
@@ -153,7 +153,7 @@
         let mut frame = ((noise.len() + 1) as u32).to_be_bytes().to_vec();
         frame.push(kind % 80);
         frame.extend(noise);
-        let mut copy = || BytesMut::from(&frame[..]);
+        let copy = || BytesMut::from(&frame[..]);
         _ = next_frame::<ToStore>(&mut copy());
         _ = next_frame::<FromStore>(&mut copy());
         _ = next_frame::<ToList>(&mut copy());
