Recall what an earlier run learned; keep part of each limit undrawn so that it is there

A gateway that came back knew nothing: caps and latencies from their seeds, limits from empty. The module now tells what it knows when asked (Remember, Known) and believes what it is told (Recalled), less with age. Of a limit's part half is kept undrawn for as long as a save promises, so that a start may draw it: rule 7 holds whenever the crash came.

Found by a test: a tag recalled for a volume without a record panicked the next pick.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -210,6 +210,8 @@
             Action::Subscribe => reply.observe(instance),
             Action::FetchList => reply.get_list(instance),
             Action::Probe { store } => reply.ping(instance, self.stores[store.0 as usize]),
+            // Instances here keep nothing: each is killed outright.
+            Action::Known { .. } => {}
             Action::Log(text) => reply.emit(instance, &text),
             Action::Fatal(text) => reply.fatal(instance, &text),
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod rehearse;
 mod serve;
 mod stand_in;
+mod state;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -42,6 +43,9 @@
     /// Looks at settings.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Looks into a folder of state kept over restarts.
+    #[command(subcommand)]
+    State(state::Command),
     /// Runs a scripted store or list, for trying a gateway by hand.
     #[command(subcommand)]
     StandIn(stand_in::Command),
@@ -77,6 +81,7 @@
         Command::Config(ConfigCommand::Check { file }) => {
             serve::document(&file).map(|document| output::print(&document.as_script()))
         }
+        Command::State(command) => state::run(command),
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
         Command::Rehearse(arguments) => runtime.block_on(rehearse::run(arguments)),
         Command::Measure(arguments) => runtime.block_on(measure::run(arguments)),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -30,8 +30,8 @@
 
 /// Starts the gateway that a document describes.
 pub async fn start(document: Document) -> Result<umbertray_gateway::Running, String> {
-    let Document { listen, list, seed, settings } = document;
-    let options = umbertray_gateway::Options { listen, list, seed };
+    let Document { listen, list, seed, state, settings } = document;
+    let options = umbertray_gateway::Options { listen, list, seed, state: state.map(Into::into) };
     umbertray_gateway::start(Arc::new(settings), options).await.map_err(|error| format!("listen: {error}"))
 }
 
--- a/crates/cli/tests/sockets/common.rs
+++ b/crates/cli/tests/sockets/common.rs
@@ -43,7 +43,7 @@
 }
 
 pub async fn gateway(fleet: &Fleet, seed: u64, document: &Document) -> Running {
-    let options = Options { listen: document.listen.clone(), list: fleet.list.address, seed };
+    let options = Options { listen: document.listen.clone(), list: fleet.list.address, seed, state: None };
     umbertray_gateway::start(Arc::new(document.settings.clone()), options).await.expect("a gateway starts")
 }
 
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -72,9 +72,9 @@
     let (gateway_call, rules_call, bounds_call) = (single("gateway"), single("rules"), single("bounds"));
     let rules = rules(&rules_call, &mut problems);
     let bounds = bounds(&bounds_call, &mut problems);
-    let (listen, list, seed, settings) =
+    let (listen, list, seed, state, settings) =
         gateway(&gateway_call, (op_types, type_rules, plans, volumes), (rules, bounds), &mut problems);
-    if problems.is_empty() { Ok(Document { listen, list, seed, settings }) } else { Err(problems) }
+    if problems.is_empty() { Ok(Document { listen, list, seed, state, settings }) } else { Err(problems) }
 }
 
 fn unique(calls: &[&Call], names: &[&str], problems: &mut Vec<Problem>) {
@@ -239,7 +239,7 @@
     (op_types, type_rules, plans, volumes): Named,
     (rules, bounds): (Rules, Bounds),
     problems: &mut Vec<Problem>,
-) -> (Vec<SocketAddr>, SocketAddr, u64, Settings) {
+) -> (Vec<SocketAddr>, SocketAddr, u64, Option<String>, Settings) {
     let mut args = Arguments::new(call, problems);
     let address = |args: &mut Arguments, name: &str, text: &str| {
         text.parse().unwrap_or_else(|_| {
@@ -251,6 +251,7 @@
     let listen = listen.iter().map(|text| address(&mut args, "listen", text)).collect();
     let list = args.text("list", None);
     let list = address(&mut args, "list", &list);
+    let state = Some(args.text("state", Some(""))).filter(|folder| !folder.is_empty());
     let seed = args.count("seed", 0..=1 << 53, Some(0));
     let extent_bytes = args.count("extent", 4096..=32 << 20, Some(1 << 20)) as u32;
     if !extent_bytes.is_multiple_of(4096) {
@@ -274,5 +275,5 @@
         bounds,
     };
     args.end();
-    (listen, list, seed, settings)
+    (listen, list, seed, state, settings)
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -24,6 +24,8 @@
     pub listen: Vec<SocketAddr>,
     pub list: SocketAddr,
     pub seed: u64,
+    /// The folder in which state is kept over restarts.
+    pub state: Option<String>,
     pub settings: Settings,
 }
 
@@ -78,7 +80,7 @@
         };
         say(format!(
             "gateway(listen = [{}], list = {:?}, seed = {}, gateways = {}, extent = {}, unit = {}, most_units = {}, \
-             mean_units = {:?}, max_dispatches = {}, max_retry_after = {:?}, connect_timeout = {:?}, tick = {:?})",
+             mean_units = {:?}, max_dispatches = {}, max_retry_after = {:?}, connect_timeout = {:?}, tick = {:?}{})",
             list(&mut self.listen.iter().map(|address| format!("{:?}", address.to_string()))),
             self.list.to_string(),
             self.seed,
@@ -90,7 +92,8 @@
             s.max_dispatches,
             seconds(s.max_retry_after),
             seconds(s.connect_timeout),
-            seconds(s.tick)
+            seconds(s.tick),
+            self.state.as_ref().map_or(String::new(), |folder| format!(", state = {folder:?}"))
         ));
         for op_type in &s.op_types {
             let repeats = match op_type.repeats {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -3,7 +3,7 @@
 use umbertray_config::{Document, Problem, read};
 
 const GOOD: &str = r#"
-gateway(listen = ["127.0.0.1:0", "[::1]:0"], list = "127.0.0.1:7000", gateways = 3)
+gateway(listen = ["127.0.0.1:0", "[::1]:0"], list = "127.0.0.1:7000", gateways = 3, state = "/var/lib/x")
 op_type("get", target_latency = 100 * ms, op_timeout = 1, utility = 3)
 op_type("put", target_latency = 0.2, op_timeout = 2, utility = 2, repeats = "deduplicated", dedup_span = 5, in_order = True)
 request(["read", "status"], up_to = 64 * KiB, op_type = "get")
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -11,7 +11,11 @@
 use umbertray_store_wire::store::ToStore;
 
 use crate::clock::Clock;
+use crate::keeper::Keeper;
 use crate::{link, list};
+use umbertray_state::Stamp;
+use umbertray_state::decide::{EVERY, PROMISED};
+use umbertray_state::folder::{self, Recalled};
 
 /// A part of a reply on its way to its session.
 pub struct ReplyPart {
@@ -25,6 +29,8 @@
     Input(Input),
     /// From the link of this generation to the store; what an earlier one still says is not heard.
     Link(StoreId, u64, Input),
+    /// The keeper has written, or failed to, what it was given.
+    Kept,
 }
 
 struct LinkEnd {
@@ -44,6 +50,12 @@
     links: HashMap<StoreId, LinkEnd>,
     generation: u64,
     wake_at: Duration,
+    keeper: Option<Keeper>,
+    /// What an earlier run saved, until the core has it.
+    recalled: Option<Recalled>,
+    /// The moment that the next save speaks of.
+    saving: Option<Stamp>,
+    save_at: Duration,
 }
 
 /// So many messages are taken at a time; the module sees them as one moment.
@@ -71,9 +83,18 @@
             links: HashMap::new(),
             generation: 0,
             wake_at: clock.now(),
+            keeper: None,
+            recalled: None,
+            saving: None,
+            save_at: clock.now() + EVERY,
         }
     }
 
+    /// Keeps state with a keeper, and recalls what it found.
+    pub fn keeping(self, keeper: Option<Keeper>, recalled: Option<Recalled>) -> Hub {
+        Hub { keeper, recalled, ..self }
+    }
+
     /// Runs until told to stop and all is answered, at most `grace` after that.
     pub async fn run(
         mut self,
@@ -83,7 +104,11 @@
     ) -> Result<(), String> {
         let mut messages = Vec::with_capacity(TURN);
         let mut end_at = None;
-        self.turn(Vec::new())?;
+        let recalled = self
+            .recalled
+            .take()
+            .map(|recalled| Input::Recalled { saved: recalled.saved, age: recalled.age.known() });
+        self.turn(recalled.into_iter().collect())?;
         loop {
             let wake_at = tokio::time::Instant::from_std(self.clock.instant(self.wake_at));
             tokio::select! {
@@ -98,15 +123,35 @@
                 }
                 () = tokio::time::sleep_until(wake_at) => self.turn(vec![Input::Woken])?,
             }
+            self.save()?;
             let over = |end: Duration| self.sessions.is_empty() || self.clock.now() >= end;
             if end_at.is_some_and(over) {
+                self.save_at = Duration::ZERO;
+                self.save()?;
                 return Ok(());
             }
         }
     }
 
+    /// Asks the core what is to be saved, when it is time to and the keeper is idle: a slow disk is not waited for. The
+    /// sweep wakes this loop often enough.
+    fn save(&mut self) -> Result<(), String> {
+        let now = self.clock.now();
+        if now < self.save_at || self.saving.is_some() || !self.keeper.as_ref().is_some_and(Keeper::idle) {
+            return Ok(());
+        }
+        // The moment is taken first: what is kept is then never younger than it says.
+        self.saving = Some(folder::stamp());
+        self.save_at = now + EVERY;
+        self.turn(vec![Input::Remember { promised: PROMISED }])
+    }
+
     fn heard(&mut self, message: ToHub) -> Option<Input> {
         match message {
+            ToHub::Kept => {
+                self.keeper.iter_mut().for_each(Keeper::kept);
+                None
+            }
             ToHub::Attach(session, sender) => {
                 self.sessions.insert(session, sender);
                 None
@@ -159,6 +204,11 @@
                 }
             }
             Output::List(message) => _ = self.to_list.send(message),
+            Output::Save(saved) => {
+                if let Some((keeper, stamp)) = self.keeper.as_mut().zip(self.saving.take()) {
+                    keeper.keep(self.clock.now(), stamp, saved);
+                }
+            }
             Output::Wake(at) => self.wake_at = at,
             Output::Log(text) => tracing::info!(text, "said"),
             Output::Fatal(text) => return Err(text),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod clock;
 mod hub;
+mod keeper;
 mod link;
 mod list;
 mod reply;
@@ -14,6 +15,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,8 +33,10 @@
     pub listen: Vec<SocketAddr>,
     /// The list of stores and directory of extents.
     pub list: SocketAddr,
-    /// Chance within the module; two gateways must not share one.
+    /// Chance within the module, and whose state a folder holds; two gateways must not share one.
     pub seed: u64,
+    /// Where state is kept over restarts, if anywhere.
+    pub state: Option<PathBuf>,
 }
 
 /// A gateway at work. Dropping it ends its tasks at once, as a kill would.
@@ -84,7 +88,11 @@
     // A run's number is never used again, or a store would take its dispatches for those of the run before.
     let run = clock.now().as_nanos() as u64 ^ options.seed.rotate_left(32);
     let longest = settings.op_types.iter().map(|op_type| op_type.op_timeout).max().unwrap_or_default();
+    let keeping =
+        options.state.and_then(|folder| keeper::open(&folder, options.seed, &settings, to_hub.clone()));
+    let (keeper, recalled) = keeping.unzip();
     let hub = hub::Hub::new(core, clock, settings.clone(), options.list, run, to_hub.clone());
+    let hub = hub.keeping(keeper, recalled.flatten());
     let shared = Arc::new(session::Shared {
         exports: session::Volumes::new(&settings),
         budget: budget::Budget::new(&settings.bounds),
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -97,6 +97,8 @@
     pub power: Power,
     /// What may pass between a thing's happening and its being seen, on a machine that does much else.
     pub slack: Duration,
+    /// Gateways keep state in a folder over their restarts.
+    pub state: bool,
     pub loads: Vec<Load>,
     pub troubles: Vec<Trouble>,
 }
@@ -125,7 +127,8 @@
         if loads.is_empty() {
             problems.push(whole("no clients are named"));
         }
-        let Some((length, gateways, stores, slack, mut power)) = days.pop().filter(|_| problems.is_empty())
+        let Some((length, gateways, stores, slack, state, mut power)) =
+            days.pop().filter(|_| problems.is_empty())
         else {
             return Err(problems);
         };
@@ -136,11 +139,11 @@
         power.fall_s = rules.fall_time.as_secs_f64();
         document.settings.gateways = gateways;
         document.settings.volumes.iter_mut().for_each(|volume| volume.gateways = gateways);
-        Ok(Day { text, document, length, gateways, stores, power, slack, loads, troubles })
+        Ok(Day { text, document, length, gateways, stores, power, slack, state, loads, troubles })
     }
 }
 
-type Figures = (Duration, u32, u32, Duration, Power);
+type Figures = (Duration, u32, u32, Duration, bool, Power);
 
 fn figures(args: &mut Arguments) -> Figures {
     let plain = Power::default();
@@ -157,6 +160,7 @@
         args.count("gateways", 1..=32, Some(3)) as u32,
         args.count("stores", 1..=64, Some(6)) as u32,
         args.span("slack", 0.0..=10.0, Some(0.25)),
+        args.flag("state"),
         power,
     )
 }
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -124,6 +124,8 @@
         down: Vec::new(),
     };
     for number in 0..day.gateways as usize {
+        // What another rehearsal left in the same place is not this one's.
+        _ = std::fs::remove_dir_all(folder.join(format!("state-{number}")));
         let gateway = stage.gateway(number, 0).await?;
         stage.shared.gateways.lock().map_err(|_| io::Error::other("poisoned"))?.push(gateway.address);
         stage.gateways.push(gateway);
@@ -179,7 +181,11 @@
     async fn gateway(&self, number: usize, life: u64) -> io::Result<Gateway> {
         let mut document = self.day.document.clone();
         document.list = self.fleet.list.address;
+        // A gateway's state is that of its seed, so its lives share one where state is kept.
+        let life = if self.day.state { 0 } else { life };
         document.seed = (self.seed << 16 ^ number as u64 ^ life << 8) & ((1 << 53) - 1);
+        let folder = std::path::absolute(self.folder.join(format!("state-{number}")))?;
+        document.state = self.day.state.then(|| folder.display().to_string());
         document.listen = vec![SocketAddr::from(([127, 0, 0, 1], 0))];
         let name = format!("gateway-{number}");
         Gateway::start(&self.program, &self.folder, &name, &document.as_script()).await
--- a/crates/routing/src/core.rs
+++ b/crates/routing/src/core.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use umbertray::choice::Gateway;
 use umbertray::interface::{
-    Action, Answer, Event, ListNews, Op, OpId, Outcome, Report, StoreId, StoreState, VolumeId,
+    Action, Answer, Event, ListNews, Listing, Op, OpId, Outcome, Report, StoreId, StoreState, VolumeId,
 };
 use umbertray_store_wire::list::{Entry, FromList, ToList};
 use umbertray_store_wire::store::{self, Code, Dispatch, FromStore, Stretch, ToStore, Work};
@@ -17,6 +17,7 @@
 use crate::members::{Link, Members};
 use crate::piece::{OpenRequest, Piece, Sent, Stage, Way};
 use crate::places::{Asked, Places};
+use crate::recall::{self, Recall};
 use crate::settings::Settings;
 use crate::split::cuts;
 use crate::timers::{Timer, Timers};
@@ -40,6 +41,8 @@
     sent: HashMap<u64, Sent>,
     timers: Timers,
     asking_again: bool,
+    promised: Duration,
+    recall: Option<Recall>,
     next_op: u32,
     next_mark: u64,
     next_number: u64,
@@ -93,6 +96,8 @@
             sent: HashMap::new(),
             timers: Timers::default(),
             asking_again: false,
+            promised: Duration::ZERO,
+            recall: None,
             next_op: 0,
             next_mark: 0,
             next_number: 0,
@@ -110,9 +115,15 @@
             Input::NotLinked { store } | Input::Unlinked { store } => self.unlinked(store),
             Input::Store { store, message } => self.store_said(store, message),
             Input::List(message) => self.list_said(message),
-            Input::ListLost => {
-                self.events.push(Event::List(ListNews::Failed));
-                self.ask_later();
+            Input::ListLost => self.list_failed(),
+            Input::Remember { promised } => {
+                self.promised = promised;
+                self.events.push(Event::Remember { promised });
+            }
+            Input::Recalled { saved, age } => {
+                let (event, recall) = Recall::new(self.now, saved, age, &self.volumes);
+                self.events.push(event);
+                self.recall = Some(recall);
             }
             Input::Woken => self.timers.woken(),
         }
@@ -340,6 +351,11 @@
             Action::Timer { token, at } => self.timers.set(at, Timer::Module(token)),
             Action::Subscribe => self.ask(ToList::Subscribe),
             Action::FetchList => self.ask(ToList::Fetch),
+            Action::Known { stores, volumes } => {
+                let entries = self.members.entries(self.now);
+                let saved = recall::saved(entries, stores, volumes, &self.volumes, self.promised);
+                self.out.push(Output::Save(saved));
+            }
             Action::Probe { store } => {
                 let message = ToStore::Probe { token: self.now.as_micros() as u64 };
                 self.out.push(Output::Store { store, message, hold: None });
@@ -594,10 +610,7 @@
             FromList::Welcome => {}
             FromList::Full(entries) => self.listed(&entries, true),
             FromList::Changes(entries) => self.listed(&entries, false),
-            FromList::Failed => {
-                self.events.push(Event::List(ListNews::Failed));
-                self.ask_later();
-            }
+            FromList::Failed => self.list_failed(),
             FromList::Place { token, shard } => match self.places.answered(token) {
                 Some(Asked::Lookup(extent, ops)) => {
                     shard.into_iter().for_each(|shard| self.places.learn(extent, shard));
@@ -614,11 +627,31 @@
         }
     }
 
+    /// Without the list, the one that an earlier run saved must do until it can be had.
+    fn list_failed(&mut self) {
+        if let Some(entries) = self.recall.as_mut().and_then(|recall| recall.list(self.now)) {
+            let news = ListNews::Cached(self.named(&entries));
+            self.events.push(Event::List(news));
+        }
+        self.events.push(Event::List(ListNews::Failed));
+        self.ask_later();
+    }
+
     fn listed(&mut self, entries: &[Entry], whole: bool) {
-        let listings: Vec<_> = entries.iter().map(|entry| self.members.listed(self.now, entry)).collect();
+        let listings = self.named(entries);
         if whole {
             self.members.unnamed(self.now, &listings);
         }
+        self.timers.set(self.now + self.memory_of_gone() + self.settings.tick, Timer::Forget);
+        let learned = self.recall.as_mut().and_then(|recall| recall.learned(self.now, entries, &listings));
+        let news = if whole { ListNews::Full(listings) } else { ListNews::Changes(listings) };
+        self.events.push(Event::List(news));
+        self.events.extend(learned);
+    }
+
+    /// Small ids for the stores that a list names, and links to them.
+    fn named(&mut self, entries: &[Entry]) -> Vec<Listing> {
+        let listings: Vec<_> = entries.iter().map(|entry| self.members.listed(self.now, entry)).collect();
         for listing in &listings {
             let member = self.members.get_mut(listing.store).expect("a listed store is known");
             // A link made ahead saves the first op its time.
@@ -627,9 +660,7 @@
                 self.out.push(Output::Link { store: listing.store, address: member.address });
             }
         }
-        self.timers.set(self.now + self.memory_of_gone() + self.settings.tick, Timer::Forget);
-        let news = if whole { ListNews::Full(listings) } else { ListNews::Changes(listings) };
-        self.events.push(Event::List(news));
+        listings
     }
 
     /// What a store gone was sent counts against its next start, and a dispatch to it may still be out.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod members;
 mod piece;
 mod places;
+mod recall;
 pub mod saved;
 pub mod settings;
 mod split;
@@ -88,6 +89,15 @@
     List(FromList),
     /// The connection to the list broke or could not be made.
     ListLost,
+    /// What is known is to be saved; the answer is [`Output::Save`]. Its floors hold for so long.
+    Remember {
+        promised: Duration,
+    },
+    /// What an earlier run saved, and how long ago, if that can be told. Said once, before all else.
+    Recalled {
+        saved: Saved,
+        age: Option<Duration>,
+    },
     /// The time asked for by the last [`Output::Wake`] has come.
     Woken,
 }
@@ -141,6 +151,7 @@
         hold: Option<Hold>,
     },
     List(ToList),
+    Save(Saved),
     /// Say `Woken` at this time; replaces what was asked for before.
     Wake(Duration),
     Log(String),
--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -20,6 +20,7 @@
     pub lasting: u64,
     pub address: SocketAddr,
     pub shard: u32,
+    zone: u32,
     start: u64,
     started: Option<Duration>,
     pub state: StoreState,
@@ -60,6 +61,7 @@
             lasting: entry.store,
             address: entry.address,
             shard: entry.shard,
+            zone: entry.zone,
             start: entry.start,
             started,
             state,
@@ -74,6 +76,20 @@
         Listing { store: id, shard: entry.shard, zone: entry.zone, started: member.started, state }
     }
 
+    /// The list as it stands, each store's age as of now.
+    pub fn entries(&self, now: Duration) -> impl Iterator<Item = (StoreId, Entry)> {
+        self.all.iter().map(move |(id, member)| {
+            let state = match member.state {
+                StoreState::Ready => State::Ready,
+                StoreState::Draining => State::Draining,
+                StoreState::Gone => State::Gone,
+            };
+            let age = member.started.map(|started| now.saturating_sub(started).as_micros() as u64);
+            let (store, address, shard, zone) = (member.lasting, member.address, member.shard, member.zone);
+            (*id, Entry { store, address, shard, zone, state, start: member.start, age })
+        })
+    }
+
     /// Those that a whole list no longer names are gone.
     pub fn unnamed(&mut self, now: Duration, named: &[Listing]) {
         for (id, member) in &mut self.all {
--- /dev/null
+++ b/crates/routing/src/recall.rs
@@ -0,0 +1,119 @@
+//! Between small ids and lasting ones: what is saved, and what of it is told to the module when.
+//!
+//! How far recalled figures are believed is the module's affair. Here stands only to what they apply: a store's to the
+//! same life of the same store, a volume's to the volume of that name, and a saved list to the time without a list.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use umbertray::interface::{Event, Listing, StoreId, StoreMemory, VolumeId, VolumeMemory};
+use umbertray_store_wire::list::{Entry, State};
+
+use crate::saved::{Learned, Saved, SavedStore, SavedVolume};
+
+pub(crate) struct Recall {
+    /// By lasting id; those whose figures were told are gone from it.
+    stores: HashMap<u64, SavedStore>,
+    list: Option<Vec<SavedStore>>,
+    volumes: HashMap<u64, VolumeId>,
+    /// How old it was when it was recalled, and when that was.
+    age: Option<Duration>,
+    at: Duration,
+}
+
+impl Recall {
+    /// What the module is told at once, and what is kept for later.
+    pub fn new(now: Duration, saved: Saved, age: Option<Duration>, volumes: &[u64]) -> (Event, Recall) {
+        let ids: HashMap<u64, VolumeId> =
+            volumes.iter().zip(0..).map(|(lasting, id)| (*lasting, VolumeId(id))).collect();
+        let memory = |saved: SavedVolume| {
+            let SavedVolume { volume, rate, told, floor } = saved;
+            Some(VolumeMemory { volume: *ids.get(&volume)?, rate, told, floor })
+        };
+        let memories = saved.volumes.into_iter().filter_map(memory).collect();
+        let promised = saved.promised;
+        let event = Event::Recalled { age, promised, stores: Vec::new(), volumes: memories };
+        let list = Some(saved.stores.clone()).filter(|list| !list.is_empty());
+        let stores = saved.stores.into_iter().map(|store| (store.store, store)).collect();
+        (event, Recall { stores, list, volumes: ids, age, at: now })
+    }
+
+    fn age(&self, now: Duration) -> Option<Duration> {
+        self.age.map(|age| age + now.saturating_sub(self.at))
+    }
+
+    /// What was learned of stores that a list names, in the life that they were known in.
+    pub fn learned(&mut self, now: Duration, entries: &[Entry], listings: &[Listing]) -> Option<Event> {
+        let age = self.age(now);
+        // The list is there: the saved one has no use any more.
+        self.list = None;
+        let mut stores = Vec::new();
+        for (entry, listing) in entries.iter().zip(listings) {
+            let Some(saved) = self.stores.remove(&entry.store).filter(|saved| saved.start == entry.start)
+            else {
+                continue;
+            };
+            let Some(Learned { latency, cap, tags }) = saved.learned else { continue };
+            let tags = tags.into_iter().filter_map(|(volume, tag)| Some((*self.volumes.get(&volume)?, tag)));
+            stores.push(StoreMemory { store: listing.store, latency, cap, tags: tags.collect() });
+        }
+        let promised = Duration::ZERO;
+        (!stores.is_empty()).then_some(Event::Recalled { age, promised, stores, volumes: Vec::new() })
+    }
+
+    /// The saved list, once. Danger: a store may have started anew since it was saved, and is cold. What is not known
+    /// is assumed the worst: each started right after that, or just now where nobody can tell when that was.
+    pub fn list(&mut self, now: Duration) -> Option<Vec<Entry>> {
+        let since = self.age(now).unwrap_or_default().as_micros() as u64;
+        let entry = |saved: SavedStore| {
+            let SavedStore { store, address, shard, zone, state, .. } = saved;
+            let state = match state {
+                1 => State::Ready,
+                2 => State::Draining,
+                _ => State::Gone,
+            };
+            // No life's own count: the list's word on its start replaces this one.
+            Entry { store, address, shard, zone, state, start: u64::MAX, age: Some(since) }
+        };
+        Some(self.list.take()?.into_iter().map(entry).collect())
+    }
+}
+
+/// All that is known, with lasting ids.
+pub(crate) fn saved(
+    entries: impl Iterator<Item = (StoreId, Entry)>,
+    stores: Vec<StoreMemory>,
+    volumes: Vec<VolumeMemory>,
+    names: &[u64],
+    promised: Duration,
+) -> Saved {
+    let name = |volume: VolumeId| names.get(volume.0 as usize).copied();
+    let learned = stores.into_iter().map(|memory| {
+        let StoreMemory { store, latency, cap, tags } = memory;
+        let tags = tags.into_iter().filter_map(|(volume, tag)| Some((name(volume)?, tag))).collect();
+        (store, Learned { latency, cap, tags })
+    });
+    let mut learned: HashMap<StoreId, Learned> = learned.collect();
+    let store = |(id, entry): (StoreId, Entry)| {
+        let Entry { store, address, shard, zone, state, start, age } = entry;
+        SavedStore {
+            store,
+            address,
+            shard,
+            zone,
+            state: state as u8,
+            start,
+            age,
+            learned: learned.remove(&id),
+        }
+    };
+    let volume = |memory: VolumeMemory| {
+        let VolumeMemory { volume, rate, told, floor } = memory;
+        Some(SavedVolume { volume: name(volume)?, rate, told, floor })
+    };
+    Saved {
+        stores: entries.map(store).collect(),
+        volumes: volumes.into_iter().filter_map(volume).collect(),
+        promised,
+    }
+}
--- a/crates/routing/tests/world.rs
+++ b/crates/routing/tests/world.rs
@@ -9,7 +9,7 @@
 use quickcheck::{Gen, QuickCheck};
 use umbertray_routing::settings::*;
 use umbertray_routing::{
-    Core, Host, Input, Output, Part, Request, RequestId, SessionId, Settings, StoreId, Verdict,
+    Core, Host, Input, Output, Part, Request, RequestId, Saved, SessionId, Settings, StoreId, Verdict,
 };
 use umbertray_store_wire::list::{Entry, FromList, State, ToList};
 use umbertray_store_wire::store::{Answer, Code, Dispatch, FromStore, ToStore, Work};
@@ -92,6 +92,7 @@
     asked: HashMap<RequestId, Asked>,
     /// Questions that the directory has not got to.
     questions: Vec<ToList>,
+    saved: Option<Saved>,
 }
 
 struct World {
@@ -110,6 +111,7 @@
             out: Vec::new(),
             asked: HashMap::new(),
             questions: Vec::new(),
+            saved: None,
         };
         let mut world = World { now, sides: vec![side(1), side(2)], places: HashMap::new(), next: 0 };
         (0..2).for_each(|side| world.tell(side, Vec::new()));
@@ -172,6 +174,7 @@
             }
             Output::Store { .. } => {}
             Output::List(question) => at.questions.push(question),
+            Output::Save(saved) => at.saved = Some(saved),
             Output::Wake(at_time) => at.wake = at_time,
             Output::Fatal(why) => panic!("{why}"),
         }
@@ -411,3 +414,26 @@
     // Ten at first, then ten each connect time-out of 100 ms, and now and then a subscription.
     assert!((70..=110).contains(&asked), "{asked} questions in 0.8 s");
 }
+
+#[test]
+fn a_core_that_recalls_serves_known_extents_without_a_list_and_takes_each_store_for_just_started() {
+    let mut world = World::new();
+    world.tell(0, vec![Input::Remember { promised: ms(2000) }]);
+    let saved = world.sides[0].saved.take().expect("told at once");
+    assert_eq!(saved.stores.iter().filter(|store| store.learned.is_some()).count(), 3);
+    let mut later = Core::new(Arc::new(settings()), 1, world.now + ms(500));
+    later.handle(world.now + ms(500), vec![Input::Recalled { saved, age: Some(ms(500)) }]);
+    let outputs = later.handle(world.now + ms(501), vec![Input::ListLost]);
+    let links = outputs.iter().filter(|output| matches!(output, Output::Link { .. })).count();
+    assert_eq!(links, 3, "the saved list stands in");
+    later.handle(world.now + ms(502), vec![Input::Remember { promised: ms(2000) }]).into_iter().for_each(
+        |output| {
+            let Output::Save(saved) = output else { return };
+            let young = |age: Option<u64>| age.is_some_and(|age| age <= 510_000);
+            assert!(
+                saved.stores.iter().all(|store| young(store.age)),
+                "started after the save, for all it knows"
+            );
+        },
+    );
+}
--- a/crates/state/src/decide.rs
+++ b/crates/state/src/decide.rs
@@ -135,6 +135,11 @@
     Wait,
 }
 
+/// How often what is known is saved, and how long its floors hold. A gateway keeps the floors of its last two saves: they
+/// cover a save for as long as it is promised while saves come no more often than half of that.
+pub const EVERY: Duration = Duration::from_secs(1);
+pub const PROMISED: Duration = Duration::from_secs(2);
+
 /// When to write where: bounded in size, and slower after failures.
 #[derive(Clone, Debug)]
 pub struct Plan {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use crate::interface::{
-    Action, Answer, Event, ListNews, Listing, Op, OpId, Outcome, Settings, StoreId, StoreState, VolumeId,
+    Action, Answer, Event, ListNews, Listing, Op, OpId, Outcome, Settings, StoreId, StoreMemory, StoreState,
+    VolumeId, VolumeMemory,
 };
 
 /// The quantum, against the shortest target latency sent to the store.
@@ -38,8 +39,11 @@
 const SILENCE: (f64, f64) = (0.5, 4.0);
 /// The part of the multiple in the rule on cold stores that ops spaced by their volume may use.
 const COLD_PART: f64 = 0.375;
-/// A volume idle at a store for so long is dropped.
+/// A volume idle at a store for so long is dropped; what is recalled fades within the same span.
 const IDLE: Duration = Duration::from_secs(60);
+/// The part of an allowance that a promise keeps undrawn, and how much longer than promised it is kept.
+const KEPT: f64 = 0.5;
+const LONGER: f64 = 1.25;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Repeats {
@@ -173,12 +177,23 @@
     /// Rule 7: what is left of this gateway's part of the plan's limit. It starts empty, since an earlier run
     /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
     allowance: f64,
+    /// What is not drawn of it, and until when, by the last promises: the last but one counts until it runs out,
+    /// since a crash may come before the last is on the disk.
+    floors: [(f64, Duration); 2],
     /// Units a second lately sent from here or told as served elsewhere, and the whole as stores told it.
     rate: f64,
     told: f64,
     at: Duration,
 }
 
+impl Volume {
+    /// What may be drawn of the allowance now.
+    fn free(&self, now: Duration) -> f64 {
+        let floors = self.floors.iter().filter(|(_, until)| now < *until).map(|(floor, _)| *floor);
+        self.allowance - floors.fold(0.0, f64::max)
+    }
+}
+
 #[derive(Default)]
 pub struct Gateway {
     running: Option<Running>,
@@ -337,6 +352,8 @@
             Event::Placed { op, shard } => {
                 _ = self.ops.get_mut(&op).map(|taken| taken.op.shard = Some(shard));
             }
+            Event::Remember { promised } => self.remember(promised),
+            Event::Recalled { age, promised, stores, volumes } => self.recall(age, promised, stores, volumes),
             Event::Timer { .. } if now >= self.sweep_at => self.sweep(),
             Event::Timer { .. } | Event::Probed { .. } | Event::Start { .. } => {}
         }
@@ -379,6 +396,55 @@
         store.listing = listing;
     }
 
+    // What outlives this gateway.
+
+    /// Tells what is known. The floors bind from now on, or a crash in a moment would make them untrue.
+    fn remember(&mut self, promised: Duration) {
+        let until = self.now + promised.mul_f64(LONGER);
+        let known = |(id, store): (&StoreId, &Store)| {
+            let tags = store.volumes.iter().map(|(volume, share)| (*volume, share.tag)).collect();
+            StoreMemory { store: *id, latency: store.latency, cap: store.cap, tags }
+        };
+        let stores = self.stores.iter().filter(|(_, store)| store.ready()).map(known).collect();
+        let mut volumes = Vec::new();
+        for (id, volume) in &mut self.volumes {
+            let floor = volume.allowance.max(0.0) * KEPT;
+            volume.floors = [volume.floors[1], (floor, until)];
+            volumes.push(VolumeMemory { volume: *id, rate: volume.rate, told: volume.told, floor });
+        }
+        self.actions.push(Action::Known { stores, volumes });
+    }
+
+    /// Believes what an earlier run knew, the less the older it is. Rule 7: of a limit, only what that run had
+    /// promised not to draw, and only if the promise still held when this one began; else the part starts empty.
+    fn recall(
+        &mut self,
+        age: Option<Duration>,
+        promised: Duration,
+        stores: Vec<StoreMemory>,
+        volumes: Vec<VolumeMemory>,
+    ) {
+        let Some(age) = age else { return };
+        let (trust, past) = ((-age.as_secs_f64() / IDLE.as_secs_f64()).exp(), age.as_secs_f64());
+        let (mean, now, shortest) = (self.mean_units, self.now, self.shortest.as_secs_f64());
+        for memory in stores {
+            let Some(store) = self.stores.get_mut(&memory.store) else { continue };
+            store.latency += trust * (memory.latency - store.latency);
+            store.cap += trust * (memory.cap.clamp(mean * LEAST_CAP, mean * MOST_CAP) - store.cap);
+            for (volume, tag) in memory.tags {
+                let share = || Share { latency: shortest * SEED, seen: now, ..Share::default() };
+                store.volumes.entry(volume).or_insert_with(share).tag += trust * tag;
+                self.volumes.entry(volume).or_default();
+            }
+        }
+        for memory in volumes {
+            let volume = self.volumes.entry(memory.volume).or_default();
+            (volume.rate, volume.told) = (memory.rate * (-past).exp(), memory.told * (-past).exp());
+            volume.allowance += if age <= promised { memory.floor } else { 0.0 };
+            volume.at = now;
+        }
+    }
+
     // Ops coming in and going out.
 
     fn arrived(&mut self, op: Op) {
@@ -568,7 +634,7 @@
     /// A volume's next op: one that continues the run on a key, else of most utility, else the first taken.
     fn pick(&self, store: StoreId, volume: VolumeId) -> Option<OpId> {
         let place = &self.stores[&store];
-        let (warmth, left) = (self.warmth(place), self.volumes[&volume].allowance);
+        let (warmth, left) = (self.warmth(place), self.volumes[&volume].free(self.now));
         let may_go = |id: &OpId| {
             let taken = &self.ops[id];
             warmth.is_none_or(|warmth| self.bears(place, &taken.op, warmth))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -100,6 +100,28 @@
     pub report: Report,
 }
 
+/// What a gateway has learned of a store, as far as it may outlive the gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreMemory {
+    pub store: StoreId,
+    /// Seconds of an average answer, and units out at most.
+    pub latency: f64,
+    pub cap: f64,
+    /// Volumes' tags there.
+    pub tags: Vec<(VolumeId, f64)>,
+}
+
+/// What a gateway has learned of a volume over all stores.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VolumeMemory {
+    pub volume: VolumeId,
+    /// Units a second, lately sent from here, and told as the whole.
+    pub rate: f64,
+    pub told: f64,
+    /// Units of its part of the plan's limit that stay undrawn for as long as was promised.
+    pub floor: f64,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Start {
@@ -121,6 +143,18 @@
         op: OpId,
         shard: u32,
     },
+    /// What is known now is to be told for keeping; its floors hold for so long.
+    Remember {
+        promised: Duration,
+    },
+    /// What an earlier run of this gateway knew, and how long ago; absent: nobody can tell. A store is named only
+    /// after the list has, in the same life that it was known in.
+    Recalled {
+        age: Option<Duration>,
+        promised: Duration,
+        stores: Vec<StoreMemory>,
+        volumes: Vec<VolumeMemory>,
+    },
     Timer {
         token: u64,
     },
@@ -155,6 +189,11 @@
         token: u64,
         at: Duration,
     },
+    /// The answer to `Remember`.
+    Known {
+        stores: Vec<StoreMemory>,
+        volumes: Vec<VolumeMemory>,
+    },
     Subscribe,
     FetchList,
     Probe {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -63,6 +63,12 @@
                 world.relist(list.clone());
             }
             14 if bits / 128 % 4 == 0 => world.restart(side),
+            14 if bits / 128 % 4 == 1 => world.recall(side, bits / 512 % 4 > 0),
+            14 if bits / 128 % 4 == 2 => {
+                // Saves come no more often than the promise allows for.
+                world.pass(world::PROMISED / 2);
+                world.remember(side);
+            }
             14 => world
                 .tell(side, vec![Event::List(ListNews::Failed), Event::ClientLeft { op: OpId(u32::MAX) }]),
             _ => world.pass(ms((bits / 128 % 64) as u64)),
@@ -281,3 +287,45 @@
     let sent = flood(&mut one_store(), 1);
     assert!(sent.iter().all(|n| *n > 50), "both gateways use their part: {sent:?}");
 }
+
+/// Of a limit with a burst of 24 units through two gateways, what the first may send at once after this.
+fn sent_at_once(restart: impl FnOnce(&mut World)) -> usize {
+    let mut world = one_store();
+    let limited = |id: u32| Op { plan: 1, gateways: 2.0, ..op(id, 1, 0) };
+    world.arrive(0, Op { units: 0.5, ..limited(100) });
+    world.pass(ms(2500));
+    restart(&mut world);
+    (0..10).for_each(|id| world.arrive(0, limited(id)));
+    world.sent_to(0, 0).iter().filter(|id| id.0 < 100).count()
+}
+
+#[test]
+fn a_part_of_a_limit_that_was_kept_undrawn_is_there_after_a_restart() {
+    let kept = |after: u64, sure: bool| {
+        sent_at_once(|world| {
+            world.arrive(0, Op { plan: 1, gateways: 2.0, units: 0.5, ..op(101, 1, 0) });
+            world.remember(0);
+            world.pass(ms(after));
+            world.recall(0, sure);
+        })
+    };
+    assert_eq!(sent_at_once(|world| world.restart(0)), 0, "without it the part starts empty");
+    assert_eq!(kept(200, true), 2, "half of what was left of twelve units, in ops of two");
+    assert_eq!(kept(500, true), 0, "the promise has run out");
+    assert_eq!(kept(200, false), 0, "nobody can tell how old it is");
+}
+
+#[test]
+fn what_is_recalled_of_a_store_counts_the_less_the_older_it_is() {
+    let cap = |age: u64| {
+        let mut world = one_store();
+        let memory =
+            StoreMemory { store: StoreId(0), latency: 0.01, cap: 24.0, tags: vec![(VolumeId(1), 50.0)] };
+        let (age, promised) = (Some(ms(age)), ms(0));
+        world.tell(0, vec![Event::Recalled { age, promised, stores: vec![memory], volumes: vec![] }]);
+        (0..40).for_each(|id| world.arrive(0, op(id, id, 0)));
+        world.sent_to(0, 0).len()
+    };
+    assert_eq!((cap(0), cap(10_000_000)), (12, 4));
+    assert!((5..12).contains(&cap(30_000)), "{}", cap(30_000));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -12,6 +12,10 @@
 const COLD: (f64, f64, f64) = (0.25, 8.0, 1.0);
 const FURTHER: (f64, f64, f64) = (1.0, 0.2, 2.0);
 const PAUSE: Duration = Duration::from_millis(300);
+type Memory = (Duration, Vec<StoreMemory>, Vec<VolumeMemory>);
+
+/// Twice the least time between two saves.
+pub const PROMISED: Duration = Duration::from_millis(400);
 const GRACE: Duration = Duration::from_millis(1000);
 
 pub fn ms(millis: u64) -> Duration {
@@ -100,6 +104,7 @@
     barred: BTreeMap<StoreId, Duration>,
     cold_sent: Vec<(StoreId, Duration, f64)>,
     limits: BTreeMap<VolumeId, (f64, Duration)>,
+    memories: BTreeMap<usize, Memory>,
 }
 
 impl World {
@@ -122,6 +127,23 @@
         self.tell(side, vec![start, Event::List(ListNews::Cached(self.list.clone()))]);
     }
 
+    /// What a side would keep now, at its moment.
+    pub fn remember(&mut self, side: usize) {
+        self.tell(side, vec![Event::Remember { promised: PROMISED }]);
+        let known = self.sides[side].actions.pop();
+        let Some(Action::Known { stores, volumes }) = known else { panic!("not told: {known:?}") };
+        self.memories.insert(side, (self.now, stores, volumes));
+    }
+
+    /// Restarts a side that recalls what it kept last; its age may be unknown.
+    pub fn recall(&mut self, side: usize, sure: bool) {
+        self.restart(side);
+        if let Some((at, stores, volumes)) = self.memories.get(&side).cloned() {
+            let age = sure.then_some(self.now - at);
+            self.tell(side, vec![Event::Recalled { age, promised: PROMISED, stores, volumes }]);
+        }
+    }
+
     pub fn relist(&mut self, list: Vec<Listing>) {
         for known in &self.list {
             let now = list.iter().find(|l| l.store == known.store);
