--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -84,6 +84,11 @@
         ));
         finding.breaches.iter().for_each(|breach| output::print_line(&format!("    {breach}")));
     }
+    if verdict.service.after_return.asked > 0 {
+        let count = &verdict.service.after_return;
+        let (asked, served) = (count.asked, served(count));
+        output::print_line(&format!("  {:32} asked {asked:6}  {served}", "2 s after a gateway's death"));
+    }
     for (name, count) in verdict.service.by_op_type.iter().chain(&verdict.service.by_plan) {
         output::print_line(&format!("  {name:32} asked {:6}  {}", count.asked, served(count)));
     }
--- a/crates/cli/tests/sockets/days.rs
+++ b/crates/cli/tests/sockets/days.rs
@@ -1,6 +1,7 @@
 //! Whole days through gateways in processes of their own, judged by what crossed the sockets.
 
 use crate::common::{folder, program};
+use umbertray_rehearsal::record::Deed;
 use umbertray_rehearsal::{Day, judge, rehearse};
 
 async fn plays(name: &str, text: &str, seed: u64) {
@@ -23,6 +24,20 @@
     }
 }
 
+/// Twenty kills outright under load with state kept, all stores restarting and the list failing among them.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_that_die_again_and_again_break_no_rule() {
+    let text = include_str!("../../../../days/restarts.star");
+    let day = Day::read("restarts.star", text.into()).unwrap_or_else(|problems| panic!("{problems:#?}"));
+    let record = rehearse(&day, 1, program(), &folder("restarts")).await.expect("the day plays");
+    let verdict = judge(&day, &record);
+    let killed = |(_, deed): &&(u64, Deed)| matches!(deed, Deed::Killed { .. });
+    assert!(record.deeds.iter().filter(killed).count() >= 20);
+    assert!(verdict.kept, "again: umbertray rehearse days/restarts.star --seed 1\n{verdict:#?}");
+    let all = &verdict.service.all;
+    assert!(all.acked * 2 > all.asked, "{all:?}");
+}
+
 /// 7. Two hundred clients over three gateways and six stores, with 1 to 4 requests at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_hundred_clients_lose_nothing() {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -193,6 +193,7 @@
                     generation: self.generation,
                     run: self.run,
                     connect_timeout: self.settings.connect_timeout,
+                    clock: self.clock,
                     to_hub: self.to_hub.clone(),
                 };
                 tokio::spawn(link.run(address, from_hub));
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -43,7 +43,7 @@
     let opened =
         opened.and_then(|disk| Folder::open(Box::new(disk), seed, digest(settings), folder::stamp(), GROWN));
     let place = folder.display();
-    let (mut folder, recalled, notes) = match opened {
+    let (folder, recalled, notes) = match opened {
         Ok(opened) => opened,
         Err(error) => {
             tracing::warn!(folder = %place, %error, "state not used");
@@ -60,20 +60,23 @@
         let (stores, volumes) = (recalled.saved.stores.len(), recalled.saved.volumes.len());
         tracing::info!(folder = %place, stores, volumes, age = ?recalled.age, "state recalled");
     }
-    let (to_thread, from_hub) = blocking::sync_channel::<(Duration, Stamp, Saved)>(1);
-    let thread = std::thread::spawn(move || {
-        for (now, stamp, saved) in from_hub {
-            if let Err(error) = folder.save(now, stamp, saved) {
-                tracing::warn!(%error, "state not saved");
-            }
-            _ = to_hub.send(ToHub::Kept);
-        }
-    });
-    let keeper = Keeper { to_thread: Some(to_thread), thread: Some(thread), writing: false };
-    Some((keeper, recalled))
+    Some((Keeper::start(folder, to_hub), recalled))
 }
 
 impl Keeper {
+    fn start(mut folder: Folder, to_hub: mpsc::UnboundedSender<ToHub>) -> Keeper {
+        let (to_thread, from_hub) = blocking::sync_channel::<(Duration, Stamp, Saved)>(1);
+        let thread = std::thread::spawn(move || {
+            for (now, stamp, saved) in from_hub {
+                if let Err(error) = folder.save(now, stamp, saved) {
+                    tracing::warn!(%error, "state not saved");
+                }
+                _ = to_hub.send(ToHub::Kept);
+            }
+        });
+        Keeper { to_thread: Some(to_thread), thread: Some(thread), writing: false }
+    }
+
     pub fn idle(&self) -> bool {
         !self.writing
     }
@@ -100,3 +103,65 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io;
+    use std::time::Instant;
+
+    use umbertray_state::Layer;
+
+    use super::*;
+
+    /// A disk whose first sync never comes back.
+    struct Hangs(blocking::Sender<()>);
+
+    impl Layer for Hangs {
+        fn names(&self) -> io::Result<Vec<String>> {
+            Ok(Vec::new())
+        }
+        fn read(&self, _: &str, _: usize) -> io::Result<Vec<u8>> {
+            Err(io::ErrorKind::NotFound.into())
+        }
+        fn write(&mut self, _: &str, _: &[u8]) -> io::Result<()> {
+            Ok(())
+        }
+        fn append(&mut self, _: &str, _: &[u8]) -> io::Result<()> {
+            Ok(())
+        }
+        fn sync(&mut self, _: &str) -> io::Result<()> {
+            _ = self.0.send(());
+            loop {
+                std::thread::park();
+            }
+        }
+        fn rename(&mut self, _: &str, _: &str) -> io::Result<()> {
+            Ok(())
+        }
+        fn remove(&mut self, _: &str) -> io::Result<()> {
+            Ok(())
+        }
+        fn sync_folder(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn a_disk_that_hangs_costs_freshness_and_nothing_else() {
+        let (hanging, hangs) = blocking::channel();
+        let (folder, ..) =
+            Folder::open(Box::new(Hangs(hanging)), 1, 2, folder::stamp(), GROWN).expect("an empty folder");
+        let (to_hub, mut from_keeper) = mpsc::unbounded_channel();
+        let mut keeper = Keeper::start(folder, to_hub);
+        let began = Instant::now();
+        keeper.keep(Duration::from_secs(1), folder::stamp(), Saved::default());
+        hangs.recv().expect("it came to the sync");
+        assert!(!keeper.idle(), "nothing more is asked of it");
+        keeper.keep(Duration::from_secs(2), folder::stamp(), Saved::default());
+        keeper.keep(Duration::from_secs(3), folder::stamp(), Saved::default());
+        assert!(began.elapsed() < Duration::from_secs(1) && from_keeper.try_recv().is_err());
+        let began = Instant::now();
+        drop(keeper);
+        assert!(began.elapsed() < LAST * 3, "the end waits for it a moment only");
+    }
+}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -14,6 +14,7 @@
 use umbertray_store_wire::store::{FromStore, ToStore};
 use umbertray_store_wire::{Message, next_frame};
 
+use crate::clock::Clock;
 use crate::hub::ToHub;
 
 /// A link silent for so long asks for a sign of life: it finds a half-open connection, and a fresh reading of the store's
@@ -27,6 +28,7 @@
     pub generation: u64,
     pub run: u64,
     pub connect_timeout: Duration,
+    pub clock: Clock,
     pub to_hub: mpsc::UnboundedSender<ToHub>,
 }
 
@@ -82,8 +84,9 @@
 
     async fn read(&self, mut reader: OwnedReadHalf, mut input: BytesMut) -> io::Result<()> {
         loop {
+            let at = self.clock.now();
             while let Some(message) = next_frame(&mut input).map_err(io::Error::other)? {
-                self.say(Input::Store { store: self.store, message });
+                self.say(Input::Store { store: self.store, message, at });
             }
             input.reserve(READ);
             // Three signs of life may be missed.
--- a/crates/rehearsal/src/judge/service.rs
+++ b/crates/rehearsal/src/judge/service.rs
@@ -6,7 +6,7 @@
 use umbertray_store_wire::store::Work;
 
 use crate::day::Day;
-use crate::record::{Kind, Outcome, Record};
+use crate::record::{Deed, Kind, Outcome, Record};
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Count {
@@ -26,10 +26,15 @@
     pub all: Count,
     pub by_op_type: BTreeMap<String, Count>,
     pub by_plan: BTreeMap<String, Count>,
+    /// Of requests to a gateway within two seconds after it was killed.
+    pub after_return: Count,
     /// By second of the day.
     pub by_second: BTreeMap<u64, Count>,
 }
 
+/// How long after a gateway's death its requests count as those after its return, microseconds.
+const RETURN: u64 = 2_000_000;
+
 pub(crate) fn service(day: &Day, record: &Record) -> Service {
     let settings = &day.document.settings;
     let mut service = Service::default();
@@ -42,7 +47,13 @@
         let op_type = &settings.op_types[settings.op_type(work, asked.length)];
         let plan = &settings.plans[settings.volumes[asked.volume].plan].name;
         let in_time = asked.ended - asked.sent <= op_type.target_latency.as_micros() as u64;
+        let killed = |(at, deed): &(u64, Deed)| {
+            *deed == Deed::Killed { gateway: asked.gateway } && (*at..*at + RETURN).contains(&asked.sent)
+        };
+        let mut other = Count::default();
+        let returned = record.deeds.iter().any(killed);
         let counts = [
+            if returned { &mut service.after_return } else { &mut other },
             &mut service.all,
             service.by_op_type.entry(op_type.name.clone()).or_default(),
             service.by_plan.entry(plan.clone()).or_default(),
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -316,14 +316,15 @@
             Kind::GatewayCrash => {
                 let all: Vec<usize> = (0..self.gateways.len()).collect();
                 for number in self.some(&all, trouble.part) {
-                    self.note(Deed::Killed { gateway: number });
-                    self.gateways[number].kill().await?;
-                    let life = self.draw.random_range(1..256);
-                    let gateway = self.gateway(number, life).await?;
-                    if let Ok(mut all) = self.shared.gateways.lock() {
-                        all[number] = gateway.address;
-                    }
-                    self.gateways[number] = gateway;
+                    self.kill_gateway(number).await?;
+                }
+            }
+            Kind::GatewayLoop => {
+                let number = self.draw.random_range(0..self.gateways.len());
+                self.kill_gateway(number).await?;
+                let again = at + Duration::from_secs_f64(size);
+                if again < trouble.at + trouble.lasts {
+                    steps.push((again, Step::Begin(index)));
                 }
             }
             Kind::GatewayStall => {
@@ -372,6 +373,19 @@
         Ok(())
     }
 
+    /// Kills a gateway outright and starts it again at once.
+    async fn kill_gateway(&mut self, number: usize) -> io::Result<()> {
+        self.note(Deed::Killed { gateway: number });
+        self.gateways[number].kill().await?;
+        let life = self.draw.random_range(1..256);
+        let gateway = self.gateway(number, life).await?;
+        if let Ok(mut all) = self.shared.gateways.lock() {
+            all[number] = gateway.address;
+        }
+        self.gateways[number] = gateway;
+        Ok(())
+    }
+
     async fn restart(&mut self, id: u64) -> io::Result<()> {
         let Some(at) = self.down.iter().position(|identity| identity.store == id) else { return Ok(()) };
         let identity = self.down.swap_remove(at);
--- a/crates/routing/src/core.rs
+++ b/crates/routing/src/core.rs
@@ -53,6 +53,7 @@
 /// What a store said with an outcome; nothing where the outcome is the gateway's own finding.
 #[derive(Default)]
 struct Said {
+    at: Option<Duration>,
     used: Option<f64>,
     elsewhere: f64,
     report: Report,
@@ -113,7 +114,7 @@
             Input::Closed(session) => self.closed(session),
             Input::Linked { store, lasting, shard, clock } => self.linked(store, lasting, shard, clock),
             Input::NotLinked { store } | Input::Unlinked { store } => self.unlinked(store),
-            Input::Store { store, message } => self.store_said(store, message),
+            Input::Store { store, message, at } => self.store_said(store, message, at),
             Input::List(message) => self.list_said(message),
             Input::ListLost => self.list_failed(),
             Input::Remember { promised } => {
@@ -471,7 +472,7 @@
         }
     }
 
-    fn store_said(&mut self, store: StoreId, message: FromStore) {
+    fn store_said(&mut self, store: StoreId, message: FromStore, at: Duration) {
         match message {
             FromStore::Welcome { .. } => {}
             FromStore::Data { number, offset, data } => {
@@ -481,7 +482,7 @@
             FromStore::Hole { number, offset, length } => {
                 self.read_part(store, number, offset, length, |offset| Part::Hole { offset, length });
             }
-            FromStore::Answer(answer) => self.answered(store, answer),
+            FromStore::Answer(answer) => self.answered(store, answer, at),
             // A link's own sign of life: it tells the time.
             FromStore::Probed { token: 0, clock, .. } => self.read_clock(store, clock),
             FromStore::Probed { clock, report, .. } => {
@@ -522,12 +523,12 @@
         self.reply(id, part(at));
     }
 
-    fn answered(&mut self, store: StoreId, answer: store::Answer) {
+    fn answered(&mut self, store: StoreId, answer: store::Answer, at: Duration) {
         self.read_clock(store, answer.clock);
         // An answer after the dispatch was given up finds no record and is swallowed.
         let Some(sent) = self.sent.get(&answer.number).filter(|sent| sent.store == store) else { return };
         let Some(piece) = self.pieces.get_mut(&sent.op) else { return };
-        let (work, id, at) = (piece.work, piece.request, (piece.cut.extent, piece.cut.offset));
+        let (work, id, place) = (piece.work, piece.request, (piece.cut.extent, piece.cut.offset));
         let whole = match piece.work {
             Work::Read => piece.delivered == piece.cut.length || piece.stage != Stage::Deciding,
             Work::Status => {
@@ -549,9 +550,10 @@
             Err(_) => Outcome::Unknown,
         };
         if outcome == Outcome::Acked && work == Work::Status {
-            self.stretches(id, at, answer.stretches);
+            self.stretches(id, place, answer.stretches);
         }
-        let said = Said { used: answer.used, elsewhere: answer.elsewhere, report: answer.report };
+        let said =
+            Said { at: Some(at), used: answer.used, elsewhere: answer.elsewhere, report: answer.report };
         self.ended(answer.number, outcome, said);
     }
 
@@ -582,7 +584,7 @@
             dispatch: sent.index,
             store: sent.store,
             outcome,
-            latency: self.now.saturating_sub(sent.at),
+            latency: said.at.unwrap_or(self.now).saturating_sub(sent.at),
             ended,
             used: said.used,
             elsewhere: said.elsewhere,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -82,9 +82,11 @@
     Unlinked {
         store: StoreId,
     },
+    /// What a store said, and when it came: what then waited in this gateway is not the store's doing.
     Store {
         store: StoreId,
         message: FromStore,
+        at: Duration,
     },
     List(FromList),
     /// The connection to the list broke or could not be made.
--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -62,6 +62,7 @@
             Finding::Foreign { found } => Err(Unusable::Foreign { found, ours: gateway }),
             Finding::Newer { file, version } => Err(Unusable::Newer { file, version }),
             Finding::Use { read, next, mut notes } => {
+                let found_at = read.as_ref().map_or(now, |read| read.entry.at);
                 let recalled = read.map(|read| {
                     let mut saved = read.entry.saved;
                     if read.head.digest != digest {
@@ -74,11 +75,26 @@
                     notes.push(Note::VeryOld);
                 }
                 let plan = Plan::new(Head { gateway, digest, generation: next }, most_grown);
-                Ok((Folder { layer, plan }, recalled, notes))
+                let mut folder = Folder { layer, plan };
+                let recalled = recalled.map(|recalled| folder.claim(recalled, found_at));
+                Ok((folder, recalled, notes))
             }
         }
     }
 
+    /// Danger: what was promised not to be drawn may be drawn by one run only. A run that dies before its first save would leave
+    /// the promise to the next, and that one draw the same again: restart loops would overspend. So the promise is
+    /// taken out of the folder, for sure, before it is believed; where that fails it is not believed.
+    fn claim(&mut self, mut recalled: Recalled, at: Stamp) -> Recalled {
+        let claimed = Saved { promised: Duration::ZERO, ..recalled.saved.clone() };
+        if recalled.saved.promised > Duration::ZERO
+            && !matches!(self.save(Duration::ZERO, at, claimed), Ok(true))
+        {
+            recalled.saved.promised = Duration::ZERO;
+        }
+        recalled
+    }
+
     /// Writes what is known at `at`; false where it is not time to. `now` is a steady clock. After an error the next
     /// call begins a new file, when it is time to.
     pub fn save(&mut self, now: Duration, at: Stamp, saved: Saved) -> io::Result<bool> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -565,8 +565,9 @@
     fn budget_left(&self) -> bool {
         let Ok(share) = number(&self.settings, "rules.further_share") else { return true };
         let since = self.now.saturating_sub(self.setting_span("rules.further_span"));
-        let taken = self.taken.iter().filter(|at| **at > since).count() as f64;
-        let further = self.further.iter().filter(|at| **at >= since).count() as f64;
+        // In order of time: to look through them all for each held op would cost more the more came.
+        let taken = (self.taken.len() - self.taken.partition_point(|at| *at <= since)) as f64;
+        let further = (self.further.len() - self.further.partition_point(|at| *at < since)) as f64;
         further + 1.0 <= self.setting("rules.further_free", 0.0) + share * taken
     }
 
