--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -155,12 +155,12 @@
 async fn serve(stream: TcpStream, known: Arc<Mutex<Known>>, mut changes: broadcast::Receiver<u64>) {
     _ = stream.set_nodelay(true);
     let (mut reader, mut writer) = stream.into_split();
-    let (to_client, mut answers) = mpsc::unbounded_channel::<FromList>();
+    // Each answer and when it is due: a late list is late with each, not with one after another.
+    let (to_client, mut answers) = mpsc::unbounded_channel::<(Instant, FromList)>();
     let mut input = BytesMut::new();
     let mut watching = false;
     let lock = || known.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     loop {
-        let delay = lock().delay;
         tokio::select! {
             read = reader.read_buf(&mut input) => {
                 if !read.is_ok_and(|count| count > 0) {
@@ -168,11 +168,15 @@
                 }
                 while let Ok(Some(message)) = next_frame::<ToList>(&mut input) {
                     watching |= message == ToList::Subscribe;
-                    lock().answer(message).into_iter().for_each(|answer| _ = to_client.send(answer));
+                    let mut known = lock();
+                    let due = Instant::now() + known.delay;
+                    known.answer(message).into_iter().for_each(|answer| _ = to_client.send((due, answer)));
                 }
             }
-            Some(answer) = answers.recv() => {
-                tokio::time::sleep(delay).await;
+            Some((due, answer)) = answers.recv() => {
+                if due > Instant::now() {
+                    tokio::time::sleep_until(due.into()).await;
+                }
                 if writer.write_all(&answer.frame()).await.is_err() {
                     return;
                 }
@@ -184,7 +188,8 @@
                     Err(broadcast::error::RecvError::Lagged(_)) => Some(lock().full()),
                     Err(broadcast::error::RecvError::Closed) => return,
                 };
-                answer.into_iter().for_each(|answer| _ = to_client.send(answer));
+                let due = Instant::now() + lock().delay;
+                answer.into_iter().for_each(|answer| _ = to_client.send((due, answer)));
             }
         }
     }
--- a/days/return.star
+++ b/days/return.star
@@ -23,7 +23,7 @@
 day(length = 14, gateways = 3, stores = 4, unit_ms = 8, cores = 2, queue = 64, state = True)
 
 clients("office", count = 12, rate = 10, depth = 2, blocks = 24)
-clients("logs", count = 9, rate = 5, reads = 0.2, blocks = 16)
+clients("logs", count = 9, rate = 6.5, reads = 0.2, blocks = 16)
 clients("central", count = 12, rate = 15, depth = 3, length = 64 * KiB, blocks = 48)
 
 trouble("gateway_loop", at = 3, lasts = 9, size = 2.5)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -234,8 +234,8 @@
     lines: BTreeMap<u64, Line>,
     volumes: BTreeMap<VolumeId, Volume>,
     /// When ops were taken and further dispatches made, within the budget's span.
-    taken: Vec<Duration>,
-    further: Vec<Duration>,
+    taken: VecDeque<Duration>,
+    further: VecDeque<Duration>,
     list_failures: u32,
     subscribe_at: Option<Duration>,
     sweep_at: Duration,
@@ -454,7 +454,7 @@
             self.actions.push(Action::Abort { op: op.id });
             return;
         };
-        self.taken.push(self.now);
+        self.taken.push_back(self.now);
         // What a client has waited through earlier tries shows against the longest left on any of its type.
         op_type.longest_left = op_type.longest_left.max(op.left);
         let waited = op_type.longest_left.saturating_sub(op.left);
@@ -711,7 +711,7 @@
         let op = taken.op.clone();
         taken.held_at = None;
         if !taken.dispatches.is_empty() {
-            self.further.push(self.now);
+            self.further.push_back(self.now);
         } else if let Some(volume) = self.volumes.get_mut(&op.volume) {
             volume.allowance -= op.units;
             volume.rate += op.units;
@@ -858,8 +858,11 @@
         let ids: Vec<StoreId> = self.stores.keys().copied().collect();
         ids.into_iter().for_each(|id| self.sweep_store(id));
         let kept = 2 * self.setting_span("rules.further_span");
-        self.taken.retain(|at| *at + kept >= now);
-        self.further.retain(|at| *at + kept >= now);
+        for times in [&mut self.taken, &mut self.further] {
+            while times.front().is_some_and(|at| *at + kept < now) {
+                times.pop_front();
+            }
+        }
         self.lines.retain(|_, line| !line.ops.is_empty() || line.rest_until > now);
     }
 
