--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -8,6 +8,7 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc};
 use tokio::task::JoinHandle;
@@ -157,6 +158,26 @@
     let (mut reader, mut writer) = stream.into_split();
     // Each answer and when it is due: a late list is late with each, not with one after another.
     let (to_client, mut answers) = mpsc::unbounded_channel::<(Instant, FromList)>();
+    let writing = async move {
+        while let Some((due, answer)) = answers.recv().await {
+            tokio::time::sleep_until(due.into()).await;
+            if writer.write_all(&answer.frame()).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = writing => {}
+        () = hear(&mut reader, &known, &mut changes, &to_client) => {}
+    }
+}
+
+async fn hear(
+    reader: &mut OwnedReadHalf,
+    known: &Mutex<Known>,
+    changes: &mut broadcast::Receiver<u64>,
+    to_client: &mpsc::UnboundedSender<(Instant, FromList)>,
+) {
     let mut input = BytesMut::new();
     let mut watching = false;
     let lock = || known.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
@@ -173,14 +194,6 @@
                     known.answer(message).into_iter().for_each(|answer| _ = to_client.send((due, answer)));
                 }
             }
-            Some((due, answer)) = answers.recv() => {
-                if due > Instant::now() {
-                    tokio::time::sleep_until(due.into()).await;
-                }
-                if writer.write_all(&answer.frame()).await.is_err() {
-                    return;
-                }
-            }
             changed = changes.recv(), if watching => {
                 let answer = match changed {
                     Ok(store) => lock().stores.get(&store).map(|listed| FromList::Changes(vec![entry(store, listed)])),
