Measure what keeping state costs, and a start from the largest state

Issue on surviving restarts asks for the cost side by side and the time to start from 1,000 stores and 100,000 volumes.

--- a/crates/cli/src/measure/mod.rs
+++ b/crates/cli/src/measure/mod.rs
@@ -2,7 +2,7 @@
 
 mod pass;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -14,10 +14,13 @@
 use umbertray_gateway::{Clock, Options, Running};
 use umbertray_nbd::Command;
 use umbertray_rehearsal::run::Gateway;
-use umbertray_routing::Core;
+use umbertray_routing::saved::{Learned, SavedStore, SavedVolume};
+use umbertray_routing::{Core, Saved};
 use umbertray_standin::client::Connection;
 use umbertray_standin::fleet::Fleet;
 use umbertray_standin::model::Power;
+use umbertray_state::Disk;
+use umbertray_state::folder::{Folder, GROWN, stamp};
 use umbertray_store_wire::store::Work;
 
 use crate::{demo, output};
@@ -66,12 +69,12 @@
     document.settings.plans.iter_mut().for_each(|plan| (plan.rate, plan.reserve) = (1e6, 0.0));
 }
 
-async fn side(core: bool, fleet: &Fleet) -> Result<Side, String> {
+async fn side(core: bool, fleet: &Fleet, state: Option<PathBuf>) -> Result<Side, String> {
     let mut document = demo::document(1)?;
     settings(&mut document);
     let (clock, spent) = (Clock::start(), Arc::new(AtomicU64::new(0)));
     let settings = Arc::new(document.settings);
-    let options = Options { listen: document.listen, list: fleet.list.address, seed: 1, state: None };
+    let options = Options { listen: document.listen, list: fleet.list.address, seed: 1, state };
     let spending = spent.clone();
     let host: Box<dyn umbertray_routing::Host> = if core {
         Box::new(Timed { host: Core::new(settings.clone(), 1, clock.now()), spent: spending })
@@ -158,32 +161,16 @@
 
 pub async fn run(arguments: Arguments) -> Result<(), String> {
     let fleet = fleet().await?;
-    let (core, pass) = (side(true, &fleet).await?, side(false, &fleet).await?);
+    let (core, pass) = (side(true, &fleet, None).await?, side(false, &fleet, None).await?);
     // The list and the links come up first.
     tokio::time::sleep(Duration::from_millis(500)).await;
     fill(&core).await?;
     fill(&pass).await?;
-    let span = Duration::from_secs_f64(arguments.seconds);
-    let seconds = arguments.seconds * f64::from(arguments.turns);
     for (name, work) in WORKS {
         for depth in [1, 32] {
             for clients in [1, 16, 256] {
-                let mut sums = Vec::new();
-                for _ in 0..2 {
-                    sums.push((Histogram::<u64>::new(3).map_err(|error| error.to_string())?, 0, 0));
-                }
-                for _ in 0..arguments.turns {
-                    for (side, sum) in [&core, &pass].into_iter().zip(&mut sums) {
-                        let before = side.spent.load(Ordering::Relaxed);
-                        let (latencies, failed) = turn(side, work, depth, clients, span).await?;
-                        sum.0.add(latencies).map_err(|error| error.to_string())?;
-                        sum.1 += failed;
-                        sum.2 += side.spent.load(Ordering::Relaxed) - before;
-                    }
-                }
-                let figures: Vec<Figures> = sums.iter().map(|s| figures(&s.0, s.1, s.2, seconds)).collect();
+                let figures = turns(&[&core, &pass], work, depth, clients, &arguments).await?;
                 let (ours, theirs) = (&figures[0], &figures[1]);
-                let ratio = |a: u64, b: u64| a as f64 / b.max(1) as f64;
                 let row = serde_json::json!({
                     "work": name, "bytes": BLOCK, "depth": depth, "clients": clients,
                     "throughput_ratio": ours.per_second / theirs.per_second,
@@ -195,8 +182,100 @@
             }
         }
     }
-    drop((core, pass));
-    memory(&fleet, &arguments).await
+    drop(pass);
+    let folder = std::env::temp_dir().join(format!("umbertray-measure-{}", std::process::id()));
+    let measured = async {
+        cost_of_state(&core, &fleet, &folder.join("state"), &arguments).await?;
+        drop(core);
+        largest_state(&folder.join("largest"))?;
+        memory(&fleet, &folder, &arguments).await
+    };
+    let measured = measured.await;
+    _ = std::fs::remove_dir_all(&folder);
+    measured
+}
+
+fn ratio(a: u64, b: u64) -> f64 {
+    a as f64 / b.max(1) as f64
+}
+
+/// The sides in turn, as often as asked; the figures of each.
+async fn turns(
+    sides: &[&Side],
+    work: Work,
+    depth: u32,
+    clients: u32,
+    arguments: &Arguments,
+) -> Result<Vec<Figures>, String> {
+    let span = Duration::from_secs_f64(arguments.seconds);
+    let empty = || Histogram::<u64>::new(3).map_err(|error| error.to_string());
+    let mut sums = sides.iter().map(|_| Ok((empty()?, 0, 0))).collect::<Result<Vec<_>, String>>()?;
+    for _ in 0..arguments.turns {
+        for (side, sum) in sides.iter().zip(&mut sums) {
+            let before = side.spent.load(Ordering::Relaxed);
+            let (latencies, failed) = turn(side, work, depth, clients, span).await?;
+            sum.0.add(latencies).map_err(|error| error.to_string())?;
+            sum.1 += failed;
+            sum.2 += side.spent.load(Ordering::Relaxed) - before;
+        }
+    }
+    let seconds = arguments.seconds * f64::from(arguments.turns);
+    Ok(sums.iter().map(|(latencies, failed, spent)| figures(latencies, *failed, *spent, seconds)).collect())
+}
+
+/// The same gateway with a state folder and without.
+async fn cost_of_state(
+    without: &Side,
+    fleet: &Fleet,
+    folder: &Path,
+    arguments: &Arguments,
+) -> Result<(), String> {
+    let with = side(true, fleet, Some(folder.into())).await?;
+    fill(&with).await?;
+    for (name, work) in WORKS {
+        let figures = turns(&[&with, without], work, 1, 16, arguments).await?;
+        let (with, without) = (&figures[0], &figures[1]);
+        let row = serde_json::json!({
+            "state_kept": name, "depth": 1, "clients": 16,
+            "throughput_ratio": with.per_second / without.per_second,
+            "p99_ratio": ratio(with.p99_us, without.p99_us), "with": with, "without": without,
+        });
+        output::print_line(&row.to_string());
+    }
+    Ok(())
+}
+
+/// How long a start takes that finds the largest state wished for, and how large that is.
+fn largest_state(folder: &Path) -> Result<(), String> {
+    let failed = |error: &dyn std::fmt::Display| format!("{}: {error}", folder.display());
+    let volumes = (0..100_000u64).map(|volume| SavedVolume { volume, rate: 1.5, told: 2.5, floor: 3.5 });
+    let stores = (0..1000u64).map(|store| SavedStore {
+        store,
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        shard: store as u32,
+        zone: 0,
+        state: 1,
+        start: 1,
+        age: Some(store),
+        learned: Some(Learned { latency: 0.01, cap: 8.0, tags: (0..100).map(|v| (v, 1.5)).collect() }),
+    });
+    let saved =
+        Saved { stores: stores.collect(), volumes: volumes.collect(), promised: Duration::from_secs(2) };
+    let open = || {
+        let disk = Box::new(Disk::open(folder).map_err(|error| failed(&error))?);
+        Folder::open(disk, 1, 1, stamp(), GROWN).map_err(|error| failed(&error))
+    };
+    open()?.0.save(Duration::from_secs(100), stamp(), saved).map_err(|error| failed(&error))?;
+    let began = Instant::now();
+    let recalled = open()?.1.ok_or("nothing was recalled")?;
+    let row = serde_json::json!({
+        "largest_state": { "stores": recalled.saved.stores.len(), "volumes": recalled.saved.volumes.len() },
+        "ms_to_open": began.elapsed().as_millis() as u64,
+        "bytes": std::fs::read_dir(folder).map_err(|error| failed(&error))?
+            .filter_map(|entry| entry.ok()?.metadata().ok()).map(|file| file.len()).max(),
+    });
+    output::print_line(&row.to_string());
+    Ok(())
 }
 
 /// Resident bytes of a process.
@@ -207,15 +286,12 @@
 }
 
 /// A gateway in a process of its own: what an idle client costs, whether a run leaves something behind, how it ends.
-async fn memory(fleet: &Fleet, arguments: &Arguments) -> Result<(), String> {
+async fn memory(fleet: &Fleet, folder: &Path, arguments: &Arguments) -> Result<(), String> {
     let mut document = demo::document(1)?;
     settings(&mut document);
     document.list = fleet.list.address;
-    let folder = std::env::temp_dir().join(format!("umbertray-measure-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-    let measured = measure_memory(&document, &folder, arguments).await;
-    _ = std::fs::remove_dir_all(&folder);
-    measured
+    std::fs::create_dir_all(folder).map_err(|error| error.to_string())?;
+    measure_memory(&document, folder, arguments).await
 }
 
 async fn measure_memory(document: &Document, folder: &Path, arguments: &Arguments) -> Result<(), String> {
