Say once what a request's work, a place's start and a piece's time limit are

Read again: the judge mapped a request's kind to its work in two places, the core worked out an extent's start three times and the time by which a piece must have a place twice, and the session queued bytes by two copies of one loop. Each is one function now; nothing behaves otherwise.

--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -270,19 +270,20 @@
     fn part(&mut self, ReplyPart { tag, part, hold }: ReplyPart) {
         let data = self.replies.part(&mut self.session, tag, part);
         let head = self.session.output().split().freeze();
-        for bytes in std::iter::once(head).chain(data).filter(|bytes| !bytes.is_empty()) {
-            self.queued += bytes.len();
-            self.queue.push_back(bytes);
-        }
+        std::iter::once(head).chain(data).for_each(|bytes| self.enqueue(bytes));
         self.holds.push_back((self.queued, hold));
     }
 
-    fn flush(&mut self) -> io::Result<()> {
-        if !self.session.output().is_empty() {
-            let bytes = self.session.output().split().freeze();
+    fn enqueue(&mut self, bytes: Bytes) {
+        if !bytes.is_empty() {
             self.queued += bytes.len();
             self.queue.push_back(bytes);
         }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let bytes = self.session.output().split().freeze();
+        self.enqueue(bytes);
         if self.queue.is_empty() { Ok(()) } else { self.write() }
     }
 
--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -5,7 +5,6 @@
 use umbertray_routing::Settings;
 use umbertray_routing::settings::Repeats;
 use umbertray_standin::book;
-use umbertray_store_wire::store::Work;
 use umbertray_store_wire::volume_id;
 
 use super::Finding;
@@ -90,12 +89,7 @@
     }
 
     pub fn op_type(&self, asked: &Asked) -> usize {
-        let work = match asked.kind {
-            Kind::Read => Work::Read,
-            Kind::Write => Work::Write,
-            Kind::Flush => Work::Flush,
-        };
-        self.settings.op_type(work, asked.length)
+        self.settings.op_type(asked.kind.work(), asked.length)
     }
 
     /// The end of a stand-still of the gateway that covers this moment.
--- a/crates/rehearsal/src/judge/service.rs
+++ b/crates/rehearsal/src/judge/service.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
-use umbertray_store_wire::store::Work;
 
 use crate::day::Day;
-use crate::record::{Deed, Kind, Outcome, Record};
+use crate::record::{Deed, Outcome, Record};
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Count {
@@ -39,12 +38,7 @@
     let settings = &day.document.settings;
     let mut service = Service::default();
     for asked in &record.asked {
-        let work = match asked.kind {
-            Kind::Read => Work::Read,
-            Kind::Write => Work::Write,
-            Kind::Flush => Work::Flush,
-        };
-        let op_type = &settings.op_types[settings.op_type(work, asked.length)];
+        let op_type = &settings.op_types[settings.op_type(asked.kind.work(), asked.length)];
         let plan = &settings.plans[settings.volumes[asked.volume].plan].name;
         let in_time = asked.ended - asked.sent <= op_type.target_latency.as_micros() as u64;
         let killed = |(at, deed): &(u64, Deed)| {
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use umbertray_standin::book::Entry;
+use umbertray_store_wire::store::Work;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
@@ -10,6 +11,16 @@
     Flush,
 }
 
+impl Kind {
+    pub fn work(self) -> Work {
+        match self {
+            Kind::Read => Work::Read,
+            Kind::Write => Work::Write,
+            Kind::Flush => Work::Flush,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Acked,
--- a/crates/routing/src/core.rs
+++ b/crates/routing/src/core.rs
@@ -229,9 +229,13 @@
         op
     }
 
+    /// When a piece that has no place yet is answered without one.
+    fn placed_by(&self, ends: Duration) -> Duration {
+        ends.saturating_sub(self.settings.tick * ANSWER_TICKS)
+    }
+
     fn place_later(&mut self, op: u32, question: Option<ToList>) {
-        let due = self.pieces[&op].ends.saturating_sub(self.settings.tick * ANSWER_TICKS);
-        self.timers.set(due, Timer::Piece(op));
+        self.timers.set(self.placed_by(self.pieces[&op].ends), Timer::Piece(op));
         question.into_iter().for_each(|question| self.ask(question));
     }
 
@@ -241,18 +245,20 @@
             return;
         };
         (piece.stage, piece.shard) = (Stage::Deciding, shard);
-        self.timers.unset(piece.ends.saturating_sub(self.settings.tick * ANSWER_TICKS), Timer::Piece(op));
-        let (volume, name) = (&self.settings.volumes[piece.volume], self.volumes[piece.volume]);
+        let (index, length, extent) = (piece.volume, piece.cut.length, piece.cut.extent);
+        let (work, op_type, ends) = (piece.work, piece.op_type, piece.ends);
+        self.timers.unset(self.placed_by(ends), Timer::Piece(op));
+        let (volume, name) = (&self.settings.volumes[index], self.volumes[index]);
         self.events.push(Event::Arrived(Op {
             id: OpId(op),
-            units: self.settings.units(piece.cut.length),
-            volume: VolumeId(piece.volume as u32),
+            units: self.settings.units(length),
+            volume: VolumeId(index as u32),
             volume_name: name,
-            key: (piece.work != Work::Flush).then(|| key(name, piece.cut.extent)),
+            key: (work != Work::Flush).then(|| key(name, extent)),
             shard,
-            left: piece.ends.saturating_sub(self.now),
+            left: ends.saturating_sub(self.now),
             plan: volume.plan,
-            op_type: piece.op_type,
+            op_type,
             gateways: f64::from(volume.gateways),
         }));
     }
@@ -519,7 +525,8 @@
         }
         piece.delivered += length;
         let id = piece.request;
-        let at = piece.cut.extent * u64::from(self.settings.extent_bytes) + u64::from(offset);
+        let extent = piece.cut.extent;
+        let at = self.start(extent, offset);
         self.reply(id, part(at));
     }
 
@@ -557,8 +564,13 @@
         self.ended(answer.number, outcome, said);
     }
 
+    /// Where a place within an extent lies in its volume, bytes.
+    fn start(&self, extent: u64, offset: u32) -> u64 {
+        extent * u64::from(self.settings.extent_bytes) + u64::from(offset)
+    }
+
     fn stretches(&mut self, id: RequestId, (extent, offset): (u64, u32), stretches: Vec<Stretch>) {
-        let at = extent * u64::from(self.settings.extent_bytes) + u64::from(offset);
+        let at = self.start(extent, offset);
         if let Some(request) = self.requests.get_mut(&id) {
             request.stretches.insert(at, stretches);
         }
@@ -675,7 +687,7 @@
     fn placed(&mut self, op: u32, shard: Option<u32>) {
         let Some(piece) = self.pieces.get(&op).filter(|piece| piece.stage == Stage::Placing) else { return };
         let (id, cut) = (piece.request, piece.cut);
-        let offset = cut.extent * u64::from(self.settings.extent_bytes) + u64::from(cut.offset);
+        let offset = self.start(cut.extent, cut.offset);
         match (shard, piece.work) {
             // Nothing was ever written there: no store is needed to say so.
             (None, Work::Read) => self.reply(id, Part::Hole { offset, length: cut.length }),
