--- a/crates/cli/src/nbd.rs
+++ b/crates/cli/src/nbd.rs
@@ -16,6 +16,16 @@
     export: String,
 }
 
+#[derive(clap::Args)]
+pub struct Range {
+    /// Bytes from the export's start.
+    #[arg(long, default_value_t = 0)]
+    offset: u64,
+    /// Bytes.
+    #[arg(long)]
+    length: u32,
+}
+
 #[derive(clap::Subcommand)]
 pub enum Command {
     /// Prints the exports, or one export's facts, as JSON.
@@ -24,10 +34,8 @@
     Read {
         #[command(flatten)]
         target: Target,
-        #[arg(long, default_value_t = 0)]
-        offset: u64,
-        #[arg(long)]
-        length: u32,
+        #[command(flatten)]
+        range: Range,
     },
     /// Writes standard input at an offset.
     Write {
@@ -48,10 +56,8 @@
     Status {
         #[command(flatten)]
         target: Target,
-        #[arg(long, default_value_t = 0)]
-        offset: u64,
-        #[arg(long)]
-        length: u32,
+        #[command(flatten)]
+        range: Range,
     },
 }
 
@@ -84,7 +90,7 @@
             });
             output::print_line(&facts.to_string());
         }
-        Command::Read { target, offset, length } => {
+        Command::Read { target, range: Range { offset, length } } => {
             let connection = open(&target).await?;
             let step = connection.export.blocks.maximum;
             let (mut at, end) = (offset, offset + u64::from(length));
@@ -114,7 +120,7 @@
             }
         }
         Command::Flush { target } => _ = reply(open(&target).await?.flush().await)?,
-        Command::Status { target, offset, length } => {
+        Command::Status { target, range: Range { offset, length } } => {
             let connection = open(&target).await?;
             let sent = connection.send(Kind::BlockStatus, 0, offset, length, bytes::Bytes::new());
             let whole = reply(sent.await.ok().flatten())?;
