Save only what changed; rehearse gateways that are down while all changes

Each save was the whole picture. At 100,000 volumes that is 4.3 MB, which the bound on the write rate spaces about two seconds apart, and promises of limits ran out in between. An entry now tells what is new, otherwise or gone since the one before and renews the rest (format version 2; files of version 1 are read, two kept as data).

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -3,4 +3,5 @@
 mod common;
 mod days;
 mod hard_cases;
+mod restarts;
 mod sessions;
--- /dev/null
+++ b/crates/cli/tests/sockets/restarts.rs
@@ -0,0 +1,168 @@
+//! Gateways in processes of their own that die with state kept, or cannot keep any.
+
+use std::path::Path;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::Command;
+use umbertray_rehearsal::run::Gateway;
+use umbertray_rehearsal::{Day, judge, rehearse};
+use umbertray_routing::settings::Limit;
+use umbertray_standin::client::Connection;
+use umbertray_standin::fleet::Fleet;
+use umbertray_state::Disk;
+use umbertray_state::folder::files;
+
+use crate::common::*;
+
+/// Settings of a gateway that keeps state in `folder`; a limit and its burst.
+fn settings(fleet: &Fleet, folder: &Path, limit: Option<(f64, f64)>) -> String {
+    let mut document = document("");
+    if let Some((limit, burst)) = limit {
+        let plan = &mut document.settings.plans[0];
+        plan.limit = Some(Limit { rate: limit, burst, slack: 5.0 });
+    }
+    (document.list, document.seed) = (fleet.list.address, 7);
+    document.settings.gateways = 1;
+    document.settings.volumes.iter_mut().for_each(|volume| volume.gateways = 1);
+    document.state = Some(folder.join("state").display().to_string());
+    document.as_script()
+}
+
+/// Writes one unit again and again until it has been throttled so often; how many were acked.
+async fn spend(gateway: &Gateway, volume: &str, refusals: u32) -> u32 {
+    let connection = Connection::open(gateway.address, volume, true).await.expect("a session opens");
+    let (mut taken, mut refused) = (0, 0);
+    while refused < refusals {
+        if throttled(&within(5, "an answer", connection.write(0, marked(1, 0, 1))).await) {
+            refused += 1;
+        } else {
+            taken += 1;
+        }
+    }
+    taken
+}
+
+/// Waits until a save promises so much of the one volume's limit, which is looked at as its ops come.
+async fn promised(gateway: &Gateway, folder: &Path, floor: f64) {
+    let connection = Connection::open(gateway.address, "vol", true).await.expect("a session opens");
+    let promised = || {
+        let found = files(&Disk::look(&folder.join("state"))).ok()?;
+        let newest = found.into_iter().filter_map(|(_, generation, read)| Some((generation, read.ok()?)));
+        let read = newest.max_by_key(|(generation, _)| *generation)?.1;
+        read.entry.saved.volumes.first().map(|volume| volume.floor)
+    };
+    let waiting = async {
+        while promised().is_none_or(|known| known < floor) {
+            _ = connection.write(0, marked(1, 0, 1)).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    within(20, "a promise on the disk", waiting).await;
+}
+
+/// What was drawn over all lives is never above the burst and what came since, whichever limit was set.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_is_lowered_while_the_gateway_is_down_is_the_lower_from_its_first_op() {
+    let (folder, fleet) = (folder("lowered"), fleet(1).await);
+    let (high, low) = (Some((100.0, 400.0)), Some((10.0, 20.0)));
+    let start =
+        async |script: String| Gateway::start(program(), &folder, "g", &script).await.expect("it starts");
+    let mut gateway = start(settings(&fleet, &folder, high)).await;
+    promised(&gateway, &folder, 100.0).await;
+    gateway.kill().await.expect("it runs");
+    // The same settings: the promise may be drawn, and that once only over two deaths.
+    let began = Instant::now();
+    let mut gateway = start(settings(&fleet, &folder, high)).await;
+    let mut drawn = spend(&gateway, "vol", 1).await;
+    gateway.kill().await.expect("it runs");
+    let mut gateway = start(settings(&fleet, &folder, high)).await;
+    drawn += spend(&gateway, "vol", 1).await;
+    assert!(f64::from(drawn) <= 400.0 + 5.0 + 100.0 * began.elapsed().as_secs_f64(), "{drawn} units");
+    promised(&gateway, &folder, 10.0).await;
+    gateway.kill().await.expect("it runs");
+    let began = Instant::now();
+    let gateway = start(settings(&fleet, &folder, low)).await;
+    let drawn = spend(&gateway, "vol", 5).await;
+    assert!(f64::from(drawn) <= 5.0 + 10.0 * began.elapsed().as_secs_f64(), "{drawn} units");
+    let log = std::fs::read_to_string(folder.join("g.log")).expect("a log");
+    assert!(log.contains("OtherSettings"), "{log}");
+}
+
+/// Starts a gateway by a shell that may not let it write; its log's lines as they come.
+fn hampered(shell: &str, file: &Path) -> (tokio::process::Child, impl AsyncFnMut(&str) -> String) {
+    let mut child = Command::new("sh")
+        .args(["-c", shell])
+        .arg(program())
+        .args(["--log", "json", "serve", "--config"])
+        .arg(file)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("a shell");
+    let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let until = async move |said: &str| {
+        let looking = async {
+            loop {
+                let line = log.next_line().await.expect("readable").expect("it runs");
+                if line.contains(said) {
+                    return line;
+                }
+            }
+        };
+        within(20, "a line of the log", looking).await
+    };
+    (child, until)
+}
+
+async fn serves(child: &mut tokio::process::Child) -> Connection {
+    let mut out = BufReader::new(child.stdout.take().expect("piped")).lines();
+    let line = within(20, "its address", out.next_line()).await.expect("readable").expect("a line");
+    let said: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    let address = said["nbd"][0].as_str().and_then(|text| text.parse().ok()).expect("an address");
+    Connection::open(address, "vol", true).await.expect("a session opens")
+}
+
+/// A disk on which no byte can be written (a bound on file size stands for a full one), and a folder that cannot be.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_disk_and_a_folder_that_cannot_be_made_cost_no_service() {
+    let (folder, fleet) = (folder("full"), fleet(1).await);
+    let file = folder.join("g.star");
+    std::fs::write(&file, settings(&fleet, &folder, None)).expect("room");
+    let full = r#"trap "" XFSZ; ulimit -f 0; exec "$0" "$@""#;
+    let (mut child, mut log) = hampered(full, &file);
+    let connection = serves(&mut child).await;
+    for n in 0..3 {
+        let line = log("state not saved").await;
+        assert!(line.contains("error"), "{line}");
+        acked(&patiently(async || connection.write(0, marked(n + 1, 0, 1)).await).await);
+    }
+    // Told to stop it does not wait for the disk either.
+    let id = nix::unistd::Pid::from_raw(child.id().expect("it runs") as i32);
+    nix::sys::signal::kill(id, Signal::SIGTERM).expect("it runs");
+    drop(connection);
+    assert!(within(10, "its end", child.wait()).await.expect("it ran").success());
+    std::fs::remove_dir_all(folder.join("state")).expect("it was made");
+    std::fs::write(folder.join("state"), "not a folder").expect("room");
+    let (mut child, mut log) = hampered(r#"exec "$0" "$@""#, &file);
+    let connection = serves(&mut child).await;
+    log("state not used").await;
+    acked(&patiently(async || connection.write(0, marked(9, 0, 1)).await).await);
+    assert_eq!(std::fs::read_to_string(folder.join("state")).expect("untouched"), "not a folder");
+}
+
+/// Stores restart, are replaced and are cold while gateways are down or die together.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_that_are_down_while_all_stores_change_break_no_rule() {
+    let text = include_str!("../../../../days/down.star");
+    let day = Day::read("down.star", text.into()).unwrap_or_else(|problems| panic!("{problems:#?}"));
+    let record = rehearse(&day, 1, program(), &crate::common::folder("down")).await.expect("the day plays");
+    let verdict = judge(&day, &record);
+    assert!(verdict.kept, "again: umbertray rehearse days/down.star --seed 1\n{verdict:#?}");
+    let cold = verdict.findings.iter().find(|finding| finding.rule.starts_with('4'));
+    assert!(cold.is_some_and(|finding| finding.looked >= 12), "{cold:?}");
+    assert!(verdict.service.all.acked * 2 > verdict.service.all.asked, "{:?}", verdict.service.all);
+}
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -70,6 +70,10 @@
     Killed {
         gateway: usize,
     },
+    /// Started again after it was killed, and heard.
+    Returned {
+        gateway: usize,
+    },
     /// The list answers later by so much, microseconds.
     ListDelay {
         delay: u64,
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -316,12 +316,22 @@
             Kind::GatewayCrash => {
                 let all: Vec<usize> = (0..self.gateways.len()).collect();
                 for number in self.some(&all, trouble.part) {
-                    self.kill_gateway(number).await?;
+                    self.kill(number).await?;
+                    self.revive(number).await?;
                 }
             }
+            Kind::GatewayDown => {
+                let all: Vec<usize> = (0..self.gateways.len()).collect();
+                let struck = self.some(&all, trouble.part);
+                for number in &struck {
+                    self.kill(*number).await?;
+                }
+                return Ok(struck.into_iter().map(|number| number as u64).collect());
+            }
             Kind::GatewayLoop => {
                 let number = self.draw.random_range(0..self.gateways.len());
-                self.kill_gateway(number).await?;
+                self.kill(number).await?;
+                self.revive(number).await?;
                 let again = at + Duration::from_secs_f64(size);
                 if again < trouble.at + trouble.lasts {
                     steps.push((again, Step::Begin(index)));
@@ -360,6 +370,11 @@
                 self.note(Deed::ListDelay { delay: 0 });
             }
             Kind::ListDown => self.fleet.list.fail(false),
+            Kind::GatewayDown => {
+                for number in struck {
+                    self.revive(*number as usize).await?;
+                }
+            }
             Kind::GatewayStall => {
                 struck.iter().try_for_each(|n| self.gateways[*n as usize].signal(Signal::SIGCONT))?;
             }
@@ -373,16 +388,20 @@
         Ok(())
     }
 
-    /// Kills a gateway outright and starts it again at once.
-    async fn kill_gateway(&mut self, number: usize) -> io::Result<()> {
+    async fn kill(&mut self, number: usize) -> io::Result<()> {
         self.note(Deed::Killed { gateway: number });
-        self.gateways[number].kill().await?;
+        self.gateways[number].kill().await
+    }
+
+    /// Starts a killed gateway again.
+    async fn revive(&mut self, number: usize) -> io::Result<()> {
         let life = self.draw.random_range(1..256);
         let gateway = self.gateway(number, life).await?;
         if let Ok(mut all) = self.shared.gateways.lock() {
             all[number] = gateway.address;
         }
         self.gateways[number] = gateway;
+        self.note(Deed::Returned { gateway: number });
         Ok(())
     }
 
--- a/crates/routing/src/recall.rs
+++ b/crates/routing/src/recall.rs
@@ -95,17 +95,8 @@
     });
     let mut learned: HashMap<StoreId, Learned> = learned.collect();
     let store = |(id, entry): (StoreId, Entry)| {
-        let Entry { store, address, shard, zone, state, start, age } = entry;
-        SavedStore {
-            store,
-            address,
-            shard,
-            zone,
-            state: state as u8,
-            start,
-            age,
-            learned: learned.remove(&id),
-        }
+        let Entry { store, address, shard, zone, state, start, .. } = entry;
+        SavedStore { store, address, shard, zone, state: state as u8, start, learned: learned.remove(&id) }
     };
     let volume = |memory: VolumeMemory| {
         let VolumeMemory { volume, rate, told, floor } = memory;
@@ -117,3 +108,32 @@
         promised,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::SocketAddr;
+
+    use super::*;
+
+    #[test]
+    fn each_store_of_a_saved_list_is_taken_for_started_right_after_the_save() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let store = SavedStore { store: 4, address, shard: 2, zone: 0, state: 1, start: 9, learned: None };
+        let saved = Saved { stores: vec![store], ..Saved::default() };
+        let ms = Duration::from_millis;
+        for (age, told) in [(Some(ms(500)), 510_000), (None, 0)] {
+            let (_, mut recall) = Recall::new(ms(100), saved.clone(), age, &[]);
+            let entry = Entry {
+                store: 4,
+                address,
+                shard: 2,
+                zone: 0,
+                state: State::Ready,
+                start: u64::MAX,
+                age: Some(told),
+            };
+            assert_eq!(recall.list(ms(110)), Some(vec![entry]));
+            assert_eq!(recall.list(ms(120)), None, "once");
+        }
+    }
+}
--- a/crates/routing/src/saved.rs
+++ b/crates/routing/src/saved.rs
@@ -15,8 +15,6 @@
     /// 0 gone, 1 ready, 2 draining, as on the wire.
     pub state: u8,
     pub start: u64,
-    /// Microseconds since it last started, when this was saved; absent: long ago.
-    pub age: Option<u64>,
     pub learned: Option<Learned>,
 }
 
--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -6,8 +6,9 @@
 use umbertray_routing::Saved;
 
 use crate::Unusable;
+use crate::change::Picture;
 use crate::decide::{self, Age, Finding, Note, Plan, Stamp, Write};
-use crate::format::{self, Entry, Head, MOST_FILE};
+use crate::format::{self, Entry, Head, Item, MOST_FILE};
 use crate::layer::Layer;
 
 /// What a gateway's file grows to, bytes.
@@ -27,6 +28,8 @@
 pub struct Folder {
     layer: Box<dyn Layer>,
     plan: Plan,
+    /// What a reader of the present file would believe.
+    written: Option<Picture>,
 }
 
 fn name(generation: u64) -> String {
@@ -75,7 +78,7 @@
                     notes.push(Note::VeryOld);
                 }
                 let plan = Plan::new(Head { gateway, digest, generation: next }, most_grown);
-                let mut folder = Folder { layer, plan };
+                let mut folder = Folder { layer, plan, written: None };
                 let recalled = recalled.map(|recalled| folder.claim(recalled, found_at));
                 Ok((folder, recalled, notes))
             }
@@ -99,11 +102,14 @@
     /// call begins a new file, when it is time to.
     pub fn save(&mut self, now: Duration, at: Stamp, saved: Saved) -> io::Result<bool> {
         let what = self.plan.next(now);
-        let entry = format::record(&Entry { at, saved }).ok_or(io::ErrorKind::FileTooLarge)?;
-        let written = match what {
-            Write::Wait => return Ok(false),
-            Write::Append => self.append(&entry),
-            Write::Anew(generation) => self.anew(generation, &entry),
+        let written = match (what, self.written.take()) {
+            (Write::Wait, written) => {
+                self.written = written;
+                return Ok(false);
+            }
+            (Write::Append, Some(picture)) => self.append(picture, at, saved),
+            (Write::Append, None) => Err(io::ErrorKind::NotFound.into()),
+            (Write::Anew(generation), _) => self.anew(generation, Entry { at, saved }),
         };
         match written {
             Ok(bytes) => self.plan.written(now, what, bytes),
@@ -115,20 +121,26 @@
         Ok(true)
     }
 
-    fn append(&mut self, entry: &[u8]) -> io::Result<usize> {
+    fn append(&mut self, mut picture: Picture, at: Stamp, saved: Saved) -> io::Result<usize> {
         let file = name(self.plan.head.generation);
-        self.layer.append(&file, entry)?;
+        let item = Item::Change(picture.change(at, saved));
+        let record = format::record(&item).ok_or(io::ErrorKind::FileTooLarge)?;
+        self.layer.append(&file, &record)?;
         self.layer.sync(&file)?;
-        Ok(entry.len())
+        if let Item::Change(change) = item {
+            picture.apply(change);
+        }
+        self.written = Some(picture);
+        Ok(record.len())
     }
 
     /// A new generation beside the last: whole and synced under another name before it has its own, so that a name
     /// of a generation never stands for half a file. The last but one goes when the new one's name is safe.
-    fn anew(&mut self, generation: u64, entry: &[u8]) -> io::Result<usize> {
+    fn anew(&mut self, generation: u64, entry: Entry) -> io::Result<usize> {
         let mut bytes = format::opening();
         let head = Head { generation, ..self.plan.head.clone() };
         bytes.extend(format::record(&head).ok_or(io::ErrorKind::FileTooLarge)?);
-        bytes.extend(entry);
+        bytes.extend(format::record(&Item::Whole(entry.clone())).ok_or(io::ErrorKind::FileTooLarge)?);
         self.layer.write(FRESH, &bytes)?;
         self.layer.sync(FRESH)?;
         self.layer.rename(FRESH, &name(generation))?;
@@ -140,6 +152,7 @@
         for (_, name) in old {
             self.layer.remove(&name)?;
         }
+        self.written = Some(Picture::new(entry));
         Ok(bytes.len())
     }
 }
--- a/crates/state/src/format.rs
+++ b/crates/state/src/format.rs
@@ -7,12 +7,14 @@
 use serde::{Deserialize, Serialize};
 use umbertray_routing::Saved;
 
+use crate::change::{Change, Picture};
 use crate::decide::Stamp;
+use crate::older;
 
 pub const MAGIC: &[u8; 6] = b"UMBSTA";
 
-/// The version that this text writes. Version 1 is the first there is.
-pub const VERSION: u16 = 1;
+/// The version that this text writes. Older ones are read, see `older`.
+pub const VERSION: u16 = 2;
 
 /// No record is longer, bytes; nor does a reader take more of a file than so many.
 pub const MOST_RECORD: usize = 64 << 20;
@@ -34,6 +36,13 @@
     pub saved: Saved,
 }
 
+/// What follows the head: all that is known first, then what changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Item {
+    Whole(Entry),
+    Change(Change),
+}
+
 /// Why a file, or what follows in it, is not believed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Bad {
@@ -47,7 +56,7 @@
     Empty,
 }
 
-/// A file as read: its head, the last whole entry, and how many bytes after it are not whole.
+/// A file as read: its head, what its whole entries come to, and how many bytes after them are not whole.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Read {
     pub head: Head,
@@ -90,19 +99,33 @@
     Some(value)
 }
 
-pub fn read(mut bytes: &[u8]) -> Result<Read, Bad> {
-    bytes = bytes.strip_prefix(MAGIC).ok_or(Bad::Magic)?;
-    let (version, rest) = bytes.split_first_chunk::<2>().ok_or(Bad::Head)?;
-    bytes = rest;
-    match u16::from_le_bytes(*version) {
-        VERSION => {}
+pub fn read(bytes: &[u8]) -> Result<Read, Bad> {
+    let bytes = bytes.strip_prefix(MAGIC).ok_or(Bad::Magic)?;
+    let (version, mut bytes) = bytes.split_first_chunk::<2>().ok_or(Bad::Head)?;
+    let version = u16::from_le_bytes(*version);
+    match version {
+        1..=VERSION => {}
         newer if newer > VERSION => return Err(Bad::Newer(newer)),
         _ => return Err(Bad::Magic),
     }
     let head: Head = next(&mut bytes).ok_or(Bad::Head)?;
-    let (mut entry, mut entries) = (None, 0);
-    while let Some(found) = next::<Entry>(&mut bytes) {
-        (entry, entries) = (Some(found), entries + 1);
+    let (mut picture, mut entries) = (None, 0);
+    loop {
+        let rest = bytes;
+        let item = match version {
+            1 => next::<older::Entry1>(&mut bytes).map(|entry| Item::Whole(entry.into())),
+            _ => next::<Item>(&mut bytes),
+        };
+        match (item, &mut picture) {
+            (Some(Item::Whole(entry)), _) => picture = Some(Picture::new(entry)),
+            (Some(Item::Change(change)), Some(picture)) => picture.apply(change),
+            // A change of nothing means nothing: what it stands on is missing.
+            (Some(Item::Change(_)), None) => return Err(Bad::Empty),
+            (None, _) => {
+                let entry = picture.ok_or(Bad::Empty)?.entry();
+                return Ok(Read { head, entry, entries, torn: rest.len() });
+            }
+        }
+        entries += 1;
     }
-    Ok(Read { head, entry: entry.ok_or(Bad::Empty)?, entries, torn: bytes.len() })
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,13 +1,16 @@
 //! What survives a restart: what a gateway learned, in files that are versioned, checksummed and never half written.
 //!
-//! `decide` holds what is believed, when to write a new file and when to try again, free of I/O; `format` the bytes;
+//! `decide` holds what is believed, when to write a new file and when to try again, `change` what is written again, both
+//! free of I/O; `format` the bytes, `older` those of earlier versions;
 //! `layer` the few things asked of a disk, with a real one and, in `sim`, one that crashes; `folder` puts them together.
 //! docs/state.md is the operators' page and the format's.
 
+pub mod change;
 pub mod decide;
 pub mod folder;
 pub mod format;
 pub mod layer;
+mod older;
 pub mod sim;
 
 pub use decide::{Age, Note, Stamp};
