Let plans, op types and a volume's plan change in the module while ops flow

Settings were read once at the start. Two events tell what changes in service. Changed brings new figures: tags stay, since they count what was served at the weight of its time; a volume's part of a limit fills as it would have at each time, by the plan's former limits, and a first limit starts from nothing. Moved puts a volume, its held ops too, under another plan; a volume that is new starts from an empty part.

Rule 7 while gateways learn of a change at different moments: each part fills and holds by what its gateway acts on, so the sum is kept by a bucket that fills at the mean of what they act on, between the old limit and the new.

Broken by hand, each fails a test: held ops left on the old plan, an unlimited time that fills, no filling under the old plan at a move, no record of former limits.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,6 +44,8 @@
 /// The part of an allowance that a promise keeps undrawn, and how much longer than promised it is kept.
 const KEPT: f64 = 0.5;
 const LONGER: f64 = 1.25;
+/// So many former limits of a plan are told apart; of earlier ones the least counts.
+const MOST_WAS: usize = 16;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Repeats {
@@ -65,11 +67,14 @@
     in_order: bool,
 }
 
+#[derive(Clone)]
 struct Plan {
     /// Against the plans' mean.
     weight: f64,
     limit: f64,
     limit_burst: f64,
+    /// Limits and bursts that were in force, each until when: a volume's part fills as it would have then.
+    was: VecDeque<(Duration, f64, f64)>,
     rate: f64,
     /// Units a second before a volume yields: its reserve, and by weight what the plans' rates go beyond it.
     due: f64,
@@ -177,16 +182,35 @@
     /// Rule 7: what is left of this gateway's part of the plan's limit. It starts empty, since an earlier run
     /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
     allowance: f64,
-    /// What is not drawn of it, and until when, by the last promises: the last but one counts until it runs out,
-    /// since a crash may come before the last is on the disk.
+    /// What is not drawn of it, and until when, by the last promises: the last but one counts until it runs
+    /// out, since a crash may come before the last is on the disk.
     floors: [(f64, Duration); 2],
     /// Units a second lately sent from here or told as served elsewhere, and the whole as stores told it.
     rate: f64,
     told: f64,
     at: Duration,
+    plan: Option<usize>,
+    gateways: f64,
 }
 
 impl Volume {
+    /// Brings it up to now: its part of the limit fills at what was in force at each time, and what is known
+    /// of its rate fades within a second, the span that a plan's dues are counted in.
+    fn advance(&mut self, plan: &Plan, now: Duration) {
+        let gateways = self.gateways.max(1.0);
+        let (mut at, present) = (self.at, (now, plan.limit, plan.limit_burst));
+        let was = plan.was.iter().filter(|(until, ..)| *until > self.at);
+        for (until, limit, burst) in was.chain([&present]) {
+            let past = until.saturating_sub(at).as_secs_f64();
+            // Without a limit anything may have been drawn: a first limit starts from nothing.
+            let filled = if *limit > 0.0 { self.allowance + limit / gateways * past } else { 0.0 };
+            (self.allowance, at) = (filled.min(burst / gateways), *until);
+        }
+        let past = now.saturating_sub(self.at).as_secs_f64();
+        (self.rate, self.told) = (self.rate * (-past).exp(), self.told * (-past).exp());
+        self.at = now;
+    }
+
     /// What may be drawn of the allowance now.
     fn free(&self, now: Duration) -> f64 {
         let floors = self.floors.iter().filter(|(_, until)| now < *until).map(|(floor, _)| *floor);
@@ -258,47 +282,61 @@
     hasher.finish()
 }
 
+/// The op types and plans that settings name.
+fn figures(s: &Settings) -> Result<(Vec<OpType>, Vec<Plan>), String> {
+    let word = |name: &str| s.get(name).map(String::as_str);
+    let mut op_types = Vec::new();
+    for i in 0..number(s, "op_types.count")? as usize {
+        let name = |field: &str| format!("op_types.{i}.{field}");
+        op_types.push(OpType {
+            target: span(s, &name("target_latency"))?,
+            longest_left: Duration::ZERO,
+            utility: number(s, &name("utility"))?,
+            repeats: match (word(&name("repeats")), word(&name("dedup_scope"))) {
+                (Some("replayable"), _) => Repeats::Replayable,
+                (Some("deduplicated"), Some("all")) => Repeats::Deduplicated,
+                (Some("deduplicated"), Some("zone")) => Repeats::DeduplicatedInZone,
+                (Some("deduplicated"), _) => Repeats::DeduplicatedInShard,
+                (Some("once_only"), _) => Repeats::OnceOnly,
+                _ => return Err(name("repeats")),
+            },
+            dedup_span: span(s, &name("dedup_span")).unwrap_or_default(),
+            in_order: word(&name("in_order")) == Some("true"),
+        });
+    }
+    let (mut plans, mut present) = (Vec::new(), Vec::new());
+    for i in 0..number(s, "plans.count")? as usize {
+        let name = |field: &str| format!("plans.{i}.{field}");
+        // A plan that is no more keeps its place and has no part in the means.
+        let gone = word(&name("gone")) == Some("true");
+        present.extend((!gone).then_some(i));
+        plans.push(Plan {
+            weight: if gone { 1.0 } else { number(s, &name("weight"))?.max(f64::MIN_POSITIVE) },
+            limit: number(s, &name("limit")).unwrap_or(0.0),
+            limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
+            was: VecDeque::new(),
+            rate: if gone { 1.0 } else { number(s, &name("rate"))? },
+            due: number(s, &name("reserve")).unwrap_or(0.0),
+        });
+    }
+    let best = op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+    op_types.iter_mut().for_each(|op_type| op_type.utility /= best);
+    let of_all = |of: &dyn Fn(&Plan) -> f64| {
+        present.iter().map(|i| of(&plans[*i])).sum::<f64>() / present.len() as f64
+    };
+    let mean_weight = of_all(&|plan| plan.weight);
+    let spare = of_all(&|plan| (plan.rate - plan.due) / (plan.weight / mean_weight));
+    for plan in &mut plans {
+        plan.weight /= mean_weight;
+        plan.due += plan.weight * spare;
+    }
+    Ok((op_types, plans))
+}
+
 impl Running {
     fn start(now: Duration, seed: u64, settings: Settings) -> Result<Running, String> {
         let s = &settings;
-        let word = |name: &str| s.get(name).map(String::as_str);
-        let mut op_types = Vec::new();
-        for i in 0..number(s, "op_types.count")? as usize {
-            let name = |field: &str| format!("op_types.{i}.{field}");
-            op_types.push(OpType {
-                target: span(s, &name("target_latency"))?,
-                longest_left: Duration::ZERO,
-                utility: number(s, &name("utility"))?,
-                repeats: match (word(&name("repeats")), word(&name("dedup_scope"))) {
-                    (Some("replayable"), _) => Repeats::Replayable,
-                    (Some("deduplicated"), Some("all")) => Repeats::Deduplicated,
-                    (Some("deduplicated"), Some("zone")) => Repeats::DeduplicatedInZone,
-                    (Some("deduplicated"), _) => Repeats::DeduplicatedInShard,
-                    (Some("once_only"), _) => Repeats::OnceOnly,
-                    _ => return Err(name("repeats")),
-                },
-                dedup_span: span(s, &name("dedup_span")).unwrap_or_default(),
-                in_order: word(&name("in_order")) == Some("true"),
-            });
-        }
-        let mut plans = Vec::new();
-        for i in 0..number(s, "plans.count")? as usize {
-            let name = |field: &str| format!("plans.{i}.{field}");
-            plans.push(Plan {
-                weight: number(s, &name("weight"))?.max(f64::MIN_POSITIVE),
-                limit: number(s, &name("limit")).unwrap_or(0.0),
-                limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
-                rate: number(s, &name("rate"))?,
-                due: number(s, &name("reserve")).unwrap_or(0.0),
-            });
-        }
-        let best = op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        op_types.iter_mut().for_each(|op_type| op_type.utility /= best);
-        let mean_weight = plans.iter().map(|plan| plan.weight).sum::<f64>() / plans.len() as f64;
-        plans.iter_mut().for_each(|plan| plan.weight /= mean_weight);
-        let beyond = plans.iter().map(|plan| (plan.rate - plan.due) / plan.weight);
-        let spare = beyond.sum::<f64>() / plans.len() as f64;
-        plans.iter_mut().for_each(|plan| plan.due += plan.weight * spare);
+        let (op_types, plans) = figures(s)?;
         for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
             span(s, name)?;
         }
@@ -311,7 +349,7 @@
             op_types,
             plans,
             shortest,
-            subscribe_at: (word("discovery") == Some("asked")).then_some(now),
+            subscribe_at: s.get("discovery").is_some_and(|word| word == "asked").then_some(now),
             settings,
             ..Running::default()
         };
@@ -352,6 +390,8 @@
             Event::Placed { op, shard } => {
                 _ = self.ops.get_mut(&op).map(|taken| taken.op.shard = Some(shard));
             }
+            Event::Changed { settings } => self.changed(settings),
+            Event::Moved { volume, plan, gateways } => self.moved(volume, plan, gateways),
             Event::Remember { promised } => self.remember(promised),
             Event::Recalled { age, promised, stores, volumes } => self.recall(age, promised, stores, volumes),
             Event::Timer { .. } if now >= self.sweep_at => self.sweep(),
@@ -415,8 +455,8 @@
         self.actions.push(Action::Known { stores, volumes });
     }
 
-    /// Believes what an earlier run knew, the less the older it is. Rule 7: of a limit, only what that run had
-    /// promised not to draw, and only if the promise still held when this one began; else the part starts empty.
+    /// Believes what an earlier run knew, the less the older it is. Rule 7: of a limit, only what that run
+    /// had promised not to draw, and only if that still held when this one began; else the part starts empty.
     fn recall(
         &mut self,
         age: Option<Duration>,
@@ -445,6 +485,55 @@
         }
     }
 
+    // What changes in service.
+
+    /// New figures hold from now on; settings that lack what was there are not taken. What was served keeps
+    /// its price: tags stay, as they count it at the weight of its time. Limits fill up to now as they were.
+    fn changed(&mut self, settings: Settings) {
+        let Ok((mut op_types, mut plans)) = figures(&settings) else { return };
+        if op_types.len() < self.op_types.len() || plans.len() < self.plans.len() {
+            return;
+        }
+        op_types.iter_mut().zip(&self.op_types).for_each(|(new, old)| new.longest_left = old.longest_left);
+        for (plan, old) in plans.iter_mut().zip(&mut self.plans) {
+            plan.was = std::mem::take(&mut old.was);
+            if (plan.limit, plan.limit_burst) != (old.limit, old.limit_burst) {
+                plan.was.push_back((self.now, old.limit, old.limit_burst));
+            }
+            if plan.was.len() > MOST_WAS
+                && let Some(((_, limit, burst), next)) = plan.was.pop_front().zip(plan.was.front_mut())
+            {
+                (next.1, next.2) = (next.1.min(limit), next.2.min(burst));
+            }
+        }
+        (self.op_types, self.plans, self.settings) = (op_types, plans, settings);
+    }
+
+    /// Danger: a volume that is new may have been there before under its name, so its part starts empty. Ops
+    /// held go by the new plan, or a first limit would let by what came before it.
+    fn moved(&mut self, volume: VolumeId, plan: usize, gateways: f64) {
+        if plan >= self.plans.len() {
+            return;
+        }
+        self.volumes.entry(volume).or_insert(Volume { at: self.now, ..Volume::default() });
+        self.belongs(volume, plan, gateways);
+        let shares = self.stores.values().filter_map(|store| store.volumes.get(&volume));
+        for id in shares.flat_map(|share| &share.held) {
+            let op = &mut self.ops.get_mut(id).expect("a held op is known").op;
+            (op.plan, op.gateways) = (plan, gateways);
+        }
+    }
+
+    /// The volume is of this plan from now on, and was of its last until now.
+    fn belongs(&mut self, id: VolumeId, plan: usize, gateways: f64) {
+        let volume = self.volumes.entry(id).or_insert(Volume { at: self.started, ..Volume::default() });
+        if let Some(last) = volume.plan {
+            volume.advance(&self.plans[last], self.now);
+        }
+        (volume.plan, volume.gateways) = (Some(plan), gateways);
+        volume.advance(&self.plans[plan], self.now);
+    }
+
     // Ops coming in and going out.
 
     fn arrived(&mut self, op: Op) {
@@ -467,17 +556,10 @@
             op,
         };
         let id = taken.op.id;
-        let (plan, gateways) = (&self.plans[taken.op.plan], taken.op.gateways.max(1.0));
-        // What is known of it fades within a second, the span that a plan's dues are counted in.
-        let volume = self.volumes.entry(taken.op.volume).or_default();
-        let past = self.now.saturating_sub(volume.at.max(self.started)).as_secs_f64();
-        let filled = volume.allowance + plan.limit / gateways * past;
-        volume.allowance = filled.min(plan.limit_burst / gateways);
-        (volume.rate, volume.told) = (volume.rate * (-past).exp(), volume.told * (-past).exp());
-        volume.at = self.now;
         if let Some(key) = taken.op.key.filter(|_| op_type.in_order) {
             self.lines.entry(key).or_default().ops.push_back(id);
         }
+        self.belongs(taken.op.volume, taken.op.plan, taken.op.gateways);
         // A client's last try may come with too little time left even to be looked at by the next sweep.
         let hopeless = taken.end_at <= self.now;
         self.ops.insert(id, taken);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -143,6 +143,17 @@
         op: OpId,
         shard: u32,
     },
+    /// The figures of plans, op types and rules from now on. Those in force stay in their places, new ones follow; a plan
+    /// that is no more has no weight.
+    Changed {
+        settings: Settings,
+    },
+    /// The volume is of this plan, through so many gateways, from now on, its held ops too.
+    Moved {
+        volume: VolumeId,
+        plan: usize,
+        gateways: f64,
+    },
     /// What is known now is to be told for keeping; its floors hold for so long.
     Remember {
         promised: Duration,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -71,6 +71,11 @@
             }
             14 => world
                 .tell(side, vec![Event::List(ListNews::Failed), Event::ClientLeft { op: OpId(u32::MAX) }]),
+            // Each side learns of another limit at its own time; one may never.
+            _ if bits / 128 % 4 == 0 => {
+                let (limit, burst) = [(20.0, 24.0), (5.0, 6.0), (40.0, 40.0), (0.0, 0.0)][bits / 512 % 4];
+                world.limit(side, limit, burst);
+            }
             _ => world.pass(ms((bits / 128 % 64) as u64)),
         }
         world.pass(ms((bits / 4096) as u64));
@@ -329,3 +334,112 @@
     assert_eq!((cap(0), cap(10_000_000)), (12, 4));
     assert!((5..12).contains(&cap(30_000)), "{}", cap(30_000));
 }
+
+/// What one gateway sends at once after changes, in ops of two units, of a volume that had two seconds to fill.
+fn sent_after(change: impl FnOnce(&mut World)) -> usize {
+    let mut world = one_store();
+    let limited = |id: u32| Op { plan: 1, gateways: 2.0, ..op(id, 1, 0) };
+    world.arrive(0, Op { units: 0.5, ..limited(100) });
+    world.pass(ms(2000));
+    change(&mut world);
+    (0..20).for_each(|id| world.arrive(0, limited(id)));
+    // The cap on units out is no part of this.
+    (0..12).for_each(|_| {
+        world.out(0).into_iter().for_each(|(id, n, _)| world.answer(0, id, n, Outcome::Acked));
+    });
+    world.sent_to(0, 0).iter().filter(|id| id.0 < 100).count()
+}
+
+#[test]
+fn a_limit_that_changes_fills_at_what_was_in_force_at_each_time() {
+    assert_eq!(sent_after(|_| {}), 6, "a burst of twelve units");
+    assert_eq!(sent_after(|world| world.limit(0, 20.0, 8.0)), 2, "lowered below what had filled");
+    assert_eq!(sent_after(|world| world.limit(0, 20.0, 80.0)), 6, "raised: it was full at twelve until now");
+    let raised = |world: &mut World, then: u64| {
+        world.limit(0, 20.0, 80.0);
+        world.pass(ms(then));
+    };
+    assert_eq!(sent_after(|world| raised(world, 1000)), 11, "ten units a second after that");
+    let both = |world: &mut World| {
+        raised(world, 1000);
+        world.limit(0, 2.0, 80.0);
+        world.pass(ms(1000));
+    };
+    assert_eq!(sent_after(both), 11, "one unit more in the last second");
+    let freed = |world: &mut World| {
+        world.limit(0, 0.0, 0.0);
+        world.limit(0, 20.0, 24.0);
+        world.pass(ms(450));
+    };
+    assert_eq!(sent_after(freed), 2, "a first limit starts from nothing");
+    let often = |world: &mut World| (0..40).for_each(|n| world.limit(0, 20.0, 24.0 + f64::from(n % 2)));
+    assert_eq!(sent_after(often), 6, "many changes");
+}
+
+#[test]
+fn a_volume_that_moves_takes_no_more_along_than_either_plan_gives() {
+    let moved = |world: &mut World, plan| {
+        world.tell(0, vec![Event::Moved { volume: VolumeId(1), plan, gateways: 2.0 }]);
+    };
+    let away = |world: &mut World| {
+        moved(world, 0);
+        moved(world, 1);
+    };
+    assert_eq!(sent_after(away), 0, "without a limit anything may have been drawn");
+    let mut world = one_store();
+    // More than may be out: the rest is held, without a limit.
+    (0..20).for_each(|id| world.arrive(0, op(id, 1, 0)));
+    let before = world.sent_to(0, 0).len();
+    moved(&mut world, 1);
+    (0..12).for_each(|_| {
+        world.out(0).into_iter().for_each(|(id, n, _)| world.answer(0, id, n, Outcome::Acked));
+    });
+    assert_eq!(world.sent_to(0, 0).len(), before, "those held go by the new plan");
+}
+
+#[test]
+fn a_weight_that_changes_neither_rewards_nor_punishes_what_was_served() {
+    // Volume 1 of plan 0 has been served four ops alone; volume 2 of plan 1 comes, and the weights are swapped at once.
+    let served = |swap: bool| {
+        let mut world = one_store();
+        (0..8).for_each(|id| world.arrive(0, Op { units: 1.0, ..op(id, 1 + id % 2, 0) }));
+        let mut settings = settings();
+        settings.remove("plans.1.limit");
+        if swap {
+            settings.insert("plans.0.weight".into(), "2".into());
+            settings.insert("plans.1.weight".into(), "1".into());
+        }
+        world.tell(0, vec![Event::Changed { settings }]);
+        let held = |id: u32| Op { units: 1.0, plan: (id % 2) as usize, ..op(id, 1 + id % 2, 0) };
+        (100..180).for_each(|id| world.arrive(0, held(id)));
+        for _ in 0..40 {
+            let out = world.out(0);
+            out.into_iter().take(1).for_each(|(id, n, _)| world.answer(0, id, n, Outcome::Acked));
+            world.pass(ms(4));
+        }
+        let sent = world.sent_to(0, 0);
+        let of = |volume: u32| sent.iter().filter(|id| id.0 >= 100 && id.0 % 2 == volume).count() as f64;
+        of(0) / of(1)
+    };
+    let (plain, swapped) = (served(false), served(true));
+    assert!((0.35..0.7).contains(&plain), "one to two: {plain}");
+    assert!((1.4..2.9).contains(&swapped), "two to one from then on: {swapped}");
+}
+
+#[test]
+fn settings_that_lack_what_was_there_are_not_taken() {
+    let mut world = one_store();
+    for lacking in ["plans.count", "op_types.count"] {
+        let mut fewer = settings();
+        fewer.insert(lacking.into(), "1".into());
+        world.tell(0, vec![Event::Changed { settings: fewer }]);
+    }
+    world.arrive(0, Op { plan: 1, ..op(1, 1, 3) });
+    assert!(!world.sides[0].ops[&OpId(1)].ended);
+    let mut gone = settings();
+    gone.insert("plans.1.gone".into(), "true".into());
+    ["weight", "rate"].iter().for_each(|field| _ = gone.remove(&format!("plans.1.{field}")));
+    world.tell(0, vec![Event::Changed { settings: gone }]);
+    world.arrive(0, op(2, 2, 0));
+    assert_eq!(world.sent_to(0, 0).last(), Some(&OpId(2)));
+}
