--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `umbertray`.
 
+mod config;
 mod demo;
 mod measure;
 mod nbd;
@@ -9,7 +10,6 @@
 mod stand_in;
 mod state;
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -40,9 +40,9 @@
     Serve(serve::Arguments),
     /// Runs gateways with stand-in stores and list on loopback; prints their addresses as one line of JSON.
     Demo(demo::Arguments),
-    /// Looks at settings.
+    /// Checks settings, and changes plans, volumes, op types and rules in service, each change on record.
     #[command(subcommand)]
-    Config(ConfigCommand),
+    Config(config::Command),
     /// Looks into a folder of state kept over restarts.
     #[command(subcommand)]
     State(state::Command),
@@ -58,12 +58,6 @@
     Nbd(nbd::Command),
 }
 
-#[derive(Subcommand)]
-enum ConfigCommand {
-    /// Prints the settings as understood, or every error with file, line and column.
-    Check { file: PathBuf },
-}
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     if let Err(error) = log(&arguments) {
@@ -78,9 +72,7 @@
     let ended = match arguments.command {
         Command::Serve(arguments) => runtime.block_on(serve::run(arguments)),
         Command::Demo(arguments) => runtime.block_on(demo::run(arguments)),
-        Command::Config(ConfigCommand::Check { file }) => {
-            serve::document(&file).map(|document| output::print(&document.as_script()))
-        }
+        Command::Config(command) => return config::run(command),
         Command::State(command) => state::run(command),
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
         Command::Rehearse(arguments) => runtime.block_on(rehearse::run(arguments)),
--- /dev/null
+++ b/crates/cli/tests/sockets/changes.rs
@@ -0,0 +1,299 @@
+//! Plans, volumes and limits changed while ops flow, through gateways in processes of their own that follow a log.
+
+use std::path::{Path, PathBuf};
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use umbertray_rehearsal::run::Gateway;
+use umbertray_standin::client::Connection;
+use umbertray_standin::fleet::Fleet;
+
+use crate::common::*;
+
+const SHARED: &str = r#"
+gateway(listen = ["127.0.0.1:0"], list = "127.0.0.1:1")
+op_type("get", target_latency = 0.5, op_timeout = 3.0, utility = 2)
+op_type("put", target_latency = 0.3, op_timeout = 1.0, utility = 2)
+request(["read", "status"], op_type = "get")
+request(["write", "zero", "trim", "flush"], op_type = "put")
+plan("limited", rate = 1000, limit = 400, limit_burst = 400)
+plan("free", rate = 1000)
+volume("vol", size = 16 * MiB, plan = "limited", gateways = 2)
+volume("other", size = 16 * MiB, plan = "free", gateways = 2)
+rules(drain_grace = 0.5, cold_from = 0.5, cold_time = 1, cold_units = 60, fall_multiple = 2, fall_time = 0.2,
+      order_pause = 0.1, ask_within = 1)
+"#;
+
+fn config(words: &[&str], changes: &Path) -> Output {
+    let mut command = std::process::Command::new(program());
+    command.arg("config").args(words).arg("--changes").arg(changes);
+    command.output().expect("it runs")
+}
+
+const WHO: [&str; 4] = ["--actor", "ann", "--reason", "to see"];
+
+fn apply(words: &[&str], changes: &Path) {
+    let done = config(&[&["apply"], words, &WHO].concat(), changes);
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+}
+
+/// A folder of this test's with a log of version 1 in it.
+fn begun(name: &str) -> (PathBuf, PathBuf) {
+    let folder = folder(name);
+    let (file, changes) = (folder.join("shared.star"), folder.join("changes"));
+    std::fs::write(&file, SHARED).expect("room");
+    let words = [&["import", file.to_str().expect("UTF-8")][..], &WHO].concat();
+    let done = config(&words, &changes);
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    (folder, changes)
+}
+
+async fn follows(fleet: &Fleet, folder: &Path, changes: &Path, number: u64) -> std::io::Result<Gateway> {
+    let script = format!(
+        "gateway(listen = [\"127.0.0.1:0\"], list = {:?}, seed = {number}, gateways = 2, extent = 256 * KiB, state = {:?}, changes = {:?})",
+        fleet.list.address.to_string(),
+        folder.join(format!("state-{number}")),
+        changes
+    );
+    Gateway::start(program(), folder, &format!("g{number}"), &script).await
+}
+
+/// Waits until a gateway's log says that it acts on a version.
+async fn acts_on(folder: &Path, number: u64, version: u64) {
+    let file = folder.join(format!("g{number}.log"));
+    let said = || {
+        let text = std::fs::read_to_string(&file).unwrap_or_default();
+        let versions = text.lines().filter_map(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).ok()?;
+            line["fields"]["version"].as_u64().filter(|_| line["fields"]["message"] == "changes acted on")
+        });
+        versions.max().is_some_and(|newest| newest >= version)
+    };
+    let waiting = async {
+        while !said() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    within(20, "acting on a version", waiting).await;
+}
+
+/// Clients that write as fast as they are answered; what they saw.
+#[derive(Default)]
+struct Load {
+    acked: AtomicU32,
+    throttled: AtomicU32,
+    late: AtomicU32,
+    strays: AtomicU32,
+    over: AtomicBool,
+}
+
+async fn writes(load: Arc<Load>, address: std::net::SocketAddr, volume: &'static str, block: u64) {
+    let Ok(connection) = Connection::open(address, volume, true).await else { return };
+    while !load.over.load(Ordering::Relaxed) {
+        let asked = Instant::now();
+        let ended = connection.write(block * 4096, marked(block + 1, block, 1)).await;
+        let late = asked.elapsed() > Duration::from_secs(1) + Duration::from_millis(250);
+        load.late.fetch_add(u32::from(late), Ordering::Relaxed);
+        let count = match &ended {
+            Some(whole) if whole.error.is_none() => &load.acked,
+            ended if throttled(ended) => &load.throttled,
+            // Its volume was removed, and the session ends.
+            _ => break,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        if throttled(&ended) {
+            // As clients are told to: those that ask again at once are another test's.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    load.strays.fetch_add(connection.strays().len() as u32, Ordering::Relaxed);
+}
+
+fn spawn(
+    load: &Arc<Load>,
+    gateways: &[Gateway],
+    volume: &'static str,
+    each: u64,
+) -> tokio::task::JoinSet<()> {
+    let mut clients = tokio::task::JoinSet::new();
+    for (n, gateway) in gateways.iter().enumerate() {
+        for place in 0..each {
+            clients.spawn(writes(load.clone(), gateway.address, volume, n as u64 * 64 + place));
+        }
+    }
+    clients
+}
+
+/// Acked within a span that begins now.
+async fn acked_in(load: &Load, span: Duration) -> (f64, f64) {
+    let (before, began) = (load.acked.load(Ordering::Relaxed), Instant::now());
+    tokio::time::sleep(span).await;
+    let acked = load.acked.load(Ordering::Relaxed) - before;
+    (f64::from(acked), began.elapsed().as_secs_f64())
+}
+
+/// 1. A weight, a limit lowered, a plan move, a volume added and one removed at the peak of a burst.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_at_the_peak_drop_nothing_and_the_limit_holds() {
+    let ((folder, changes), fleet) = (begun("peak"), fleet(2).await);
+    let gateways = [
+        follows(&fleet, &folder, &changes, 1).await.expect("it starts"),
+        follows(&fleet, &folder, &changes, 2).await.expect("it starts"),
+    ];
+    let (vol, other) = (Arc::new(Load::default()), Arc::new(Load::default()));
+    let mut vols = spawn(&vol, &gateways, "vol", 8);
+    let mut others = spawn(&other, &gateways, "other", 2);
+    acked_in(&vol, Duration::from_millis(600)).await;
+    let (before, span) = acked_in(&other, Duration::from_millis(500)).await;
+    let rate_before = before / span;
+    apply(
+        &["--set", "plan/limited:limit=40", "--set", "plan/limited:limit_burst=40", "--allow", "cut"],
+        &changes,
+    );
+    apply(&["--set", "plan/free:weight=4"], &changes);
+    apply(&["--put", r#"plan/faster={"rate": 2000, "weight": 8}"#], &changes);
+    apply(&["--set", "volume/other:plan=faster"], &changes);
+    for number in [1, 2] {
+        acts_on(&folder, number, 5).await;
+    }
+    let (lowered, span) = acked_in(&vol, Duration::from_millis(800)).await;
+    let out = 16.0;
+    assert!(
+        lowered <= 40.0 * span + 40.0 + 4.0 + out,
+        "{lowered} in {span} s after the limit was lowered to 40"
+    );
+    let (after, span) = acked_in(&other, Duration::from_millis(500)).await;
+    assert!(after / span > rate_before * 0.5, "{rate_before} a second before, {} after", after / span);
+    apply(&["--set", "plan/limited:limit=400", "--set", "plan/limited:limit_burst=400"], &changes);
+    acts_on(&folder, 1, 6).await;
+    acts_on(&folder, 2, 6).await;
+    let (raised, span) = acked_in(&vol, Duration::from_millis(500)).await;
+    assert!(raised / span > 80.0, "{raised} in {span} s after it was raised again");
+    apply(&["--put", r#"volume/new={"size": 16777216, "plan": "free", "gateways": 2}"#], &changes);
+    apply(&["--remove", "volume/vol", "--allow", "removal"], &changes);
+    acts_on(&folder, 1, 8).await;
+    acts_on(&folder, 2, 8).await;
+    // The sessions of the removed volume end by themselves; new ones find no such export.
+    within(5, "the sessions of the removed volume", async { while vols.join_next().await.is_some() {} })
+        .await;
+    assert!(Connection::open(gateways[0].address, "vol", true).await.is_err());
+    let new = Connection::open(gateways[1].address, "new", true).await.expect("the new volume");
+    acked(&patiently(async || new.write(0, marked(7, 0, 1)).await).await);
+    other.over.store(true, Ordering::Relaxed);
+    within(5, "the others", async { while others.join_next().await.is_some() {} }).await;
+    for load in [&vol, &other] {
+        let late = (load.late.load(Ordering::Relaxed), load.strays.load(Ordering::Relaxed));
+        assert_eq!(late, (0, 0), "late answers, and answers to nothing");
+    }
+    assert_eq!(other.throttled.load(Ordering::Relaxed), 0, "what was not changed was not turned away");
+}
+
+/// One gateway never hears of a lowered limit: the sum is that of the parts that each acts on. A log that was put back is
+/// not taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_never_hears_keeps_its_part_and_an_older_log_is_not_taken() {
+    let ((folder, changes), fleet) = (begun("never"), fleet(2).await);
+    let copy = folder.join("copy");
+    let put_back = || {
+        std::fs::create_dir_all(&copy).expect("room");
+        for file in std::fs::read_dir(&changes).expect("there") {
+            let file = file.expect("there");
+            std::fs::copy(file.path(), copy.join(file.file_name())).expect("room");
+        }
+    };
+    put_back();
+    let mut gateways = [
+        follows(&fleet, &folder, &changes, 1).await.expect("it starts"),
+        follows(&fleet, &folder, &copy, 2).await.expect("it starts"),
+    ];
+    apply(
+        &["--set", "plan/limited:limit=40", "--set", "plan/limited:limit_burst=40", "--allow", "cut"],
+        &changes,
+    );
+    acts_on(&folder, 1, 2).await;
+    let load = Arc::new(Load::default());
+    let mut clients = spawn(&load, &gateways, "vol", 8);
+    let (acked, span) = acked_in(&load, Duration::from_secs(1)).await;
+    // Half of 40 and half of 400 a second, half of each burst, the slack and what was out.
+    let most = (20.0 + 200.0) * (span + 0.5) + 20.0 + 200.0 + 40.0;
+    assert!(acked <= most, "{acked} of {most}");
+    load.over.store(true, Ordering::Relaxed);
+    within(5, "the clients", async { while clients.join_next().await.is_some() {} }).await;
+    // The first comes back to a log that was put back to what it was before the change.
+    gateways[0].kill().await.expect("it runs");
+    let refused = follows(&fleet, &folder, &copy, 1).await;
+    assert!(refused.is_err());
+    let log = std::fs::read_to_string(folder.join("g1.log")).expect("a log");
+    assert!(log.contains("ends at version 1, this gateway has acted on version 2"), "{log}");
+    // The right one is taken.
+    follows(&fleet, &folder, &changes, 1).await.expect("it starts");
+}
+
+/// Each kind of failure has its exit status, and says what and where.
+#[test]
+fn commands_fail_by_kind_and_say_why() {
+    let (folder, changes) = begun("words");
+    let fails = |words: &[&str], status: i32, why: &str| {
+        let ended = config(words, &changes);
+        let said = String::from_utf8_lossy(&ended.stderr);
+        assert_eq!(ended.status.code(), Some(status), "{words:?}: {said}");
+        assert!(said.contains(why), "{words:?}: {said}");
+    };
+    let with_who = |words: &[&'static str]| [words, &WHO].concat();
+    apply(&["--set", "plan/free:weight=2", "--id", "one"], &changes);
+    apply(&["--set", "plan/free:weight=2", "--id", "one", "--base", "1"], &changes);
+    fails(&with_who(&["apply", "--set", "plan/free:weight=3", "--id", "one"]), 2, "another change");
+    fails(
+        &with_who(&["apply", "--set", "plan/free:weight=3", "--base", "1"]),
+        3,
+        "ann made it 2 in version 2",
+    );
+    fails(&with_who(&["apply", "--remove", "volume/vol"]), 4, "--allow removal");
+    fails(&with_who(&["apply", "--set", "volume/vol:size=512"]), 2, "size cannot fall");
+    fails(&with_who(&["apply", "--set", "vol:size=512"]), 2, "is no place");
+    fails(&with_who(&["apply", "--set", "volume/vol:plan=none"]), 2, "there is no plan \"none\"");
+    fails(&["apply", "--set", "plan/free:weight=3", "--actor", "", "--reason", "x"], 2, "needs an actor");
+    fails(&["show", "--at", "9"], 2, "there is no version 9");
+    let shows = |words: &[&str], what: &str| {
+        let ended = config(words, &changes);
+        let said = String::from_utf8_lossy(&ended.stdout).into_owned();
+        assert!(ended.status.success() && said.contains(what), "{words:?}: {said}");
+    };
+    shows(&["plan", "--set", "plan/limited:rate=900"], "plan/limited:rate: 1000.0 -> 900 (1 volumes)");
+    shows(&["diff", "1", "2"], "plan/free:weight: 1.0 -> 2.0 (1 volumes)");
+    shows(&["blame", "plan/free:weight"], "2  20");
+    shows(&["log", "--after", "1"], "ann: to see");
+    shows(&["log", "--verify"], "all 2 versions");
+    apply_words(&with_who(&["revert", "2"]), &changes);
+    shows(&["show"], "plan(\"free\", rate = 1000.0, reserve = 0.0, weight = 1.0)");
+    shows(&["show", "--at", "2"], "weight = 2.0");
+    shows(&["show", "--at", "2100-01-01T00:00:00Z"], "# Version 3");
+    // What is exported can be applied: the same again changes nothing.
+    let exported = config(&["export"], &changes).stdout;
+    let file = folder.join("exported.star");
+    let own = "gateway(listen = [\"127.0.0.1:0\"], list = \"127.0.0.1:1\")\n";
+    std::fs::write(&file, [own.as_bytes(), &exported].concat()).expect("room");
+    fails(
+        &with_who(&["apply"]).into_iter().chain([file.to_str().expect("UTF-8")]).collect::<Vec<_>>(),
+        2,
+        "nothing would change",
+    );
+    let log =
+        std::fs::read_dir(&changes).expect("there").filter_map(|file| file.ok()).map(|file| file.path());
+    let log = log
+        .filter(|path| path.extension().is_some_and(|extension| extension == "log"))
+        .max()
+        .expect("a segment");
+    let mut bytes = std::fs::read(&log).expect("there");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&log, bytes).expect("room");
+    fails(&with_who(&["apply", "--set", "plan/free:weight=3"]), 5, ".log:");
+}
+
+fn apply_words(words: &[&str], changes: &Path) {
+    let done = config(words, changes);
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+}
--- a/crates/cli/tests/sockets/common.rs
+++ b/crates/cli/tests/sockets/common.rs
@@ -43,7 +43,13 @@
 }
 
 pub async fn gateway(fleet: &Fleet, seed: u64, document: &Document) -> Running {
-    let options = Options { listen: document.listen.clone(), list: fleet.list.address, seed, state: None };
+    let options = Options {
+        listen: document.listen.clone(),
+        list: fleet.list.address,
+        seed,
+        state: None,
+        changes: None,
+    };
     umbertray_gateway::start(Arc::new(document.settings.clone()), options).await.expect("a gateway starts")
 }
 
--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The running gateway through real sockets, against the project's own stand-ins.
 
+mod changes;
 mod common;
 mod days;
 mod hard_cases;
--- a/crates/config/src/calls.rs
+++ b/crates/config/src/calls.rs
@@ -21,12 +21,41 @@
 }
 
 impl Call {
+    /// A call that no script made: of settings as they are known.
+    pub fn of(
+        function: &'static str,
+        first: Value,
+        fields: impl IntoIterator<Item = (&'static str, Value)>,
+    ) -> Call {
+        let named = fields.into_iter().filter(|(_, value)| !value.is_null());
+        let named = named.map(|(name, value)| (name.to_string(), value)).collect();
+        Call { function, first, named, file: String::new(), line: 0, column: 0 }
+    }
+
+    /// The call as a line of a script.
+    pub fn as_script(&self) -> String {
+        let first = (!self.first.is_null()).then(|| literal(&self.first));
+        let named = self.named.iter().map(|(name, value)| format!("{name} = {}", literal(value)));
+        format!("{}({})", self.function, first.into_iter().chain(named).collect::<Vec<_>>().join(", "))
+    }
+
     pub fn problem(&self, what: String) -> Problem {
         let (file, line, column) = (self.file.clone(), self.line, self.column);
         Problem { file, line, column, what: format!("{}: {what}", self.function) }
     }
 }
 
+fn literal(value: &Value) -> String {
+    match value {
+        Value::Bool(true) => "True".into(),
+        Value::Bool(false) => "False".into(),
+        Value::Null => "None".into(),
+        Value::Array(items) => format!("[{}]", items.iter().map(literal).collect::<Vec<_>>().join(", ")),
+        // A JSON string is one of Starlark's; numbers are written alike.
+        other => other.to_string(),
+    }
+}
+
 /// Reads a call's arguments; each problem is noted and a stand-in value goes on, so that all are found at once.
 pub struct Arguments<'a> {
     pub call: &'a Call,
--- /dev/null
+++ b/crates/config/src/canon.rs
@@ -0,0 +1,130 @@
+//! Settings as calls, every default filled in: what a script says after it was understood.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use umbertray_routing::settings::{Bounds, OpType, Plan, Repeats, Rules, TypeRule, Volume};
+
+use crate::calls::Call;
+use crate::{Document, check};
+
+fn seconds(span: Duration) -> Value {
+    json!(span.as_secs_f64())
+}
+
+fn optional(figure: Option<f64>) -> Value {
+    figure.map_or(Value::Null, |figure| json!(figure))
+}
+
+pub fn gateway(document: &Document) -> Call {
+    let s = &document.settings;
+    let listen: Vec<String> = document.listen.iter().map(ToString::to_string).collect();
+    let text = |text: &Option<String>| text.as_ref().map_or(Value::Null, |text| json!(text));
+    Call::of(
+        "gateway",
+        Value::Null,
+        [
+            ("listen", json!(listen)),
+            ("list", json!(document.list.to_string())),
+            ("seed", json!(document.seed)),
+            ("state", text(&document.state)),
+            ("changes", text(&document.changes)),
+            ("gateways", json!(s.gateways)),
+            ("extent", json!(s.extent_bytes)),
+            ("unit", json!(s.unit_bytes)),
+            ("most_units", json!(s.most_units)),
+            ("mean_units", json!(s.mean_units)),
+            ("max_dispatches", json!(s.max_dispatches)),
+            ("max_retry_after", seconds(s.max_retry_after)),
+            ("connect_timeout", seconds(s.connect_timeout)),
+            ("tick", seconds(s.tick)),
+        ],
+    )
+}
+
+pub fn op_type(op_type: &OpType) -> Call {
+    let (repeats, span) = match op_type.repeats {
+        Repeats::Replayable => ("replayable", Value::Null),
+        Repeats::OnceOnly => ("once_only", Value::Null),
+        Repeats::Deduplicated(span) => ("deduplicated", seconds(span)),
+    };
+    Call::of(
+        "op_type",
+        json!(op_type.name),
+        [
+            ("target_latency", seconds(op_type.target_latency)),
+            ("op_timeout", seconds(op_type.op_timeout)),
+            ("utility", json!(op_type.utility)),
+            ("repeats", json!(repeats)),
+            ("dedup_span", span),
+            ("in_order", json!(op_type.in_order)),
+        ],
+    )
+}
+
+pub fn request(rule: &TypeRule, op_types: &[OpType]) -> Call {
+    let works: Vec<&str> = rule.works.iter().map(|work| check::work_name(*work)).collect();
+    let up_to = rule.up_to.map_or(Value::Null, |most| json!(most));
+    Call::of("request", json!(works), [("op_type", json!(op_types[rule.op_type].name)), ("up_to", up_to)])
+}
+
+pub fn plan(plan: &Plan) -> Call {
+    let limit = |of: fn(&umbertray_routing::settings::Limit) -> f64| optional(plan.limit.as_ref().map(of));
+    Call::of(
+        "plan",
+        json!(plan.name),
+        [
+            ("weight", json!(plan.weight)),
+            ("rate", json!(plan.rate)),
+            ("reserve", json!(plan.reserve)),
+            ("limit", limit(|limit| limit.rate)),
+            ("limit_burst", limit(|limit| limit.burst)),
+            ("limit_slack", limit(|limit| limit.slack)),
+        ],
+    )
+}
+
+pub fn volume(volume: &Volume, plan: &str) -> Call {
+    Call::of(
+        "volume",
+        json!(volume.name),
+        [("size", json!(volume.size)), ("plan", json!(plan)), ("gateways", json!(volume.gateways))],
+    )
+}
+
+pub fn rules(rules: &Rules) -> Call {
+    let further = rules.further.as_ref();
+    Call::of(
+        "rules",
+        Value::Null,
+        [
+            ("drain_grace", seconds(rules.drain_grace)),
+            ("cold_from", json!(rules.cold_from)),
+            ("cold_time", seconds(rules.cold_time)),
+            ("cold_units", json!(rules.cold_units)),
+            ("fall_multiple", json!(rules.fall_multiple)),
+            ("fall_time", seconds(rules.fall_time)),
+            ("order_pause", seconds(rules.order_pause)),
+            ("ask_within", seconds(rules.ask_within)),
+            ("further_free", optional(further.map(|further| further.free))),
+            ("further_share", optional(further.map(|further| further.share))),
+            ("further_span", further.map_or(Value::Null, |further| seconds(further.span))),
+            ("capacity", optional(rules.capacity)),
+        ],
+    )
+}
+
+pub fn bounds(bounds: &Bounds) -> Call {
+    Call::of(
+        "bounds",
+        Value::Null,
+        [
+            ("sessions", json!(bounds.sessions)),
+            ("requests_a_session", json!(bounds.requests_a_session)),
+            ("bytes", json!(bounds.bytes)),
+            ("bytes_a_session", json!(bounds.bytes_a_session)),
+            ("request_bytes", json!(bounds.request_bytes)),
+            ("places", json!(bounds.places)),
+        ],
+    )
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,7 +1,10 @@
 //! The whole of what a script said, checked.
 
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+use imbl::Vector;
+
 use umbertray_routing::Settings;
 use umbertray_routing::settings::{Bounds, Further, Limit, OpType, Plan, Repeats, Rules, TypeRule, Volume};
 use umbertray_store_wire::store::Work;
@@ -22,22 +25,26 @@
 const DAY: f64 = 86_400.0;
 const MOST: f64 = 1e12;
 
-pub(crate) fn work_name(work: Work) -> &'static str {
+pub fn work_name(work: Work) -> &'static str {
     WORKS.iter().find(|(_, known)| *known == work).map_or("read", |(name, _)| name)
 }
 
-pub(crate) fn document(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
+/// The whole that a script's calls say.
+pub fn document(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
     let mut problems = Vec::new();
     let whole = |what: &str| Problem { file: file.into(), line: 0, column: 0, what: what.into() };
     let of = |function: &str| calls.iter().filter(move |call| call.function == function).collect::<Vec<_>>();
     let op_types: Vec<OpType> = of("op_type").into_iter().map(|call| op_type(call, &mut problems)).collect();
-    let plans: Vec<Plan> = of("plan").into_iter().map(|call| plan(call, &mut problems)).collect();
+    let plans: Vector<Plan> = of("plan").into_iter().map(|call| plan(call, &mut problems)).collect();
     let names: Vec<&str> = op_types.iter().map(|op_type| op_type.name.as_str()).collect();
+    let place = |name: &str| names.iter().position(|known| *known == name);
     let type_rules: Vec<TypeRule> =
-        of("request").into_iter().map(|call| type_rule(call, &names, &mut problems)).collect();
+        of("request").into_iter().map(|call| type_rule(call, &place, &mut problems)).collect();
     let plan_names: Vec<&str> = plans.iter().map(|plan| plan.name.as_str()).collect();
-    let volumes: Vec<Volume> =
-        of("volume").into_iter().map(|call| volume(call, &plan_names, &mut problems)).collect();
+    let by_name: HashMap<&str, usize> = plan_names.iter().copied().zip(0..).collect();
+    let place = |name: &str| by_name.get(name).copied();
+    let volumes: Vector<Volume> =
+        of("volume").into_iter().map(|call| volume(call, &place, &mut problems)).collect();
     unique(&of("op_type"), &names, &mut problems);
     unique(&of("plan"), &plan_names, &mut problems);
     let volume_names: Vec<&str> = volumes.iter().map(|volume| volume.name.as_str()).collect();
@@ -47,13 +54,9 @@
             problems.push(whole(&format!("no {function} is named")));
         }
     }
-    // Each op type is one of a request's kinds; one that no rule names would be the last by chance only.
-    let ruled = |work: Work| type_rules.iter().any(|rule| rule.works.contains(&work) && rule.up_to.is_none());
-    for (name, work) in WORKS {
-        if !ruled(work) {
-            problems.push(whole(&format!("no request rule without up_to covers {name:?}")));
-        }
-    }
+    problems.extend(
+        unruled(&type_rules).map(|name| whole(&format!("no request rule without up_to covers {name:?}"))),
+    );
     let empty = |function: &'static str| Call {
         function,
         first: serde_json::Value::Null,
@@ -72,20 +75,27 @@
     let (gateway_call, rules_call, bounds_call) = (single("gateway"), single("rules"), single("bounds"));
     let rules = rules(&rules_call, &mut problems);
     let bounds = bounds(&bounds_call, &mut problems);
-    let (listen, list, seed, state, settings) =
+    let document =
         gateway(&gateway_call, (op_types, type_rules, plans, volumes), (rules, bounds), &mut problems);
-    if problems.is_empty() { Ok(Document { listen, list, seed, state, settings }) } else { Err(problems) }
+    if problems.is_empty() { Ok(document) } else { Err(problems) }
+}
+
+/// Kinds of requests that no rule covers whatever their length: their op type would be the last by chance only.
+pub fn unruled(rules: &[TypeRule]) -> impl Iterator<Item = &'static str> {
+    let ruled = |work: Work| rules.iter().any(|rule| rule.works.contains(&work) && rule.up_to.is_none());
+    WORKS.into_iter().filter(move |(_, work)| !ruled(*work)).map(|(name, _)| name)
 }
 
 fn unique(calls: &[&Call], names: &[&str], problems: &mut Vec<Problem>) {
-    for (i, (call, name)) in calls.iter().zip(names).enumerate() {
-        if names[..i].contains(name) {
+    let mut known = HashSet::new();
+    for (call, name) in calls.iter().zip(names) {
+        if !known.insert(name) {
             problems.push(call.problem(format!("the name {name:?} is taken")));
         }
     }
 }
 
-fn op_type(call: &Call, problems: &mut Vec<Problem>) -> OpType {
+pub fn op_type(call: &Call, problems: &mut Vec<Problem>) -> OpType {
     let mut args = Arguments::new(call, problems);
     let name = args.first_text();
     let target_latency = args.span("target_latency", 0.001..=DAY, None);
@@ -111,7 +121,7 @@
     OpType { name, target_latency, op_timeout, utility, repeats, in_order }
 }
 
-fn plan(call: &Call, problems: &mut Vec<Problem>) -> Plan {
+pub fn plan(call: &Call, problems: &mut Vec<Problem>) -> Plan {
     let mut args = Arguments::new(call, problems);
     let name = args.first_text();
     let weight = args.number("weight", 1e-6..=MOST, Some(1.0));
@@ -136,10 +146,13 @@
         args.problem(format!("limit {} is under reserve {reserve}", limit.rate));
     }
     args.end();
-    Plan { name, weight, rate, reserve, limit }
+    Plan { name, weight, rate, reserve, limit, gone: false }
 }
 
-fn type_rule(call: &Call, op_types: &[&str], problems: &mut Vec<Problem>) -> TypeRule {
+/// Where an op type or plan of a name stands, if there is one.
+pub type Place<'a> = &'a dyn Fn(&str) -> Option<usize>;
+
+pub fn type_rule(call: &Call, op_types: Place, problems: &mut Vec<Problem>) -> TypeRule {
     let mut args = Arguments::new(call, problems);
     let mut works = Vec::new();
     for kind in args.first_texts() {
@@ -153,7 +166,7 @@
     }
     let up_to = args.optional("up_to", 1.0..=f64::from(u32::MAX)).map(|most| most as u32);
     let wanted = args.text("op_type", None);
-    let op_type = op_types.iter().position(|name| *name == wanted);
+    let op_type = op_types(&wanted);
     if op_type.is_none() {
         args.problem(format!("there is no op type {wanted:?}"));
     }
@@ -161,7 +174,7 @@
     TypeRule { works, up_to, op_type: op_type.unwrap_or(0) }
 }
 
-fn volume(call: &Call, plans: &[&str], problems: &mut Vec<Problem>) -> Volume {
+pub fn volume(call: &Call, plans: Place, problems: &mut Vec<Problem>) -> Volume {
     let mut args = Arguments::new(call, problems);
     let name = args.first_text();
     let size = args.count("size", 512..=1 << 50, None);
@@ -172,16 +185,16 @@
         args.problem("the name is longer than 255 bytes".into());
     }
     let wanted = args.text("plan", None);
-    let plan = plans.iter().position(|name| *name == wanted);
+    let plan = plans(&wanted);
     if plan.is_none() {
         args.problem(format!("there is no plan {wanted:?}"));
     }
     let gateways = args.count("gateways", 1..=10_000, Some(1)) as u32;
     args.end();
-    Volume { name, size, plan: plan.unwrap_or(0), gateways }
+    Volume { name, size, plan: plan.unwrap_or(0), gateways, gone: false }
 }
 
-fn rules(call: &Call, problems: &mut Vec<Problem>) -> Rules {
+pub fn rules(call: &Call, problems: &mut Vec<Problem>) -> Rules {
     let mut args = Arguments::new(call, problems);
     let free = args.optional("further_free", 0.0..=MOST);
     let share = args.optional("further_share", 0.0..=1e3);
@@ -205,6 +218,7 @@
         fall_time: args.span("fall_time", 0.001..=DAY, Some(1.0)),
         order_pause: args.span("order_pause", 0.0..=DAY, Some(0.5)),
         ask_within: args.span("ask_within", 0.01..=DAY, Some(10.0)),
+        capacity: args.optional("capacity", 1e-6..=MOST),
         further,
     };
     args.end();
@@ -232,14 +246,14 @@
     bounds
 }
 
-type Named = (Vec<OpType>, Vec<TypeRule>, Vec<Plan>, Vec<Volume>);
+type Named = (Vec<OpType>, Vec<TypeRule>, Vector<Plan>, Vector<Volume>);
 
 fn gateway(
     call: &Call,
     (op_types, type_rules, plans, volumes): Named,
     (rules, bounds): (Rules, Bounds),
     problems: &mut Vec<Problem>,
-) -> (Vec<SocketAddr>, SocketAddr, u64, Option<String>, Settings) {
+) -> Document {
     let mut args = Arguments::new(call, problems);
     let address = |args: &mut Arguments, name: &str, text: &str| {
         text.parse().unwrap_or_else(|_| {
@@ -252,6 +266,7 @@
     let list = args.text("list", None);
     let list = address(&mut args, "list", &list);
     let state = Some(args.text("state", Some(""))).filter(|folder| !folder.is_empty());
+    let changes = Some(args.text("changes", Some(""))).filter(|folder| !folder.is_empty());
     let seed = args.count("seed", 0..=1 << 53, Some(0));
     let extent_bytes = args.count("extent", 4096..=32 << 20, Some(1 << 20)) as u32;
     if !extent_bytes.is_multiple_of(4096) {
@@ -261,6 +276,7 @@
         op_types,
         type_rules,
         plans,
+        names: volumes.iter().map(|volume| volume.name.clone()).zip(0..).collect(),
         volumes,
         gateways: args.count("gateways", 1..=10_000, Some(1)) as u32,
         extent_bytes,
@@ -275,5 +291,5 @@
         bounds,
     };
     args.end();
-    (listen, list, seed, state, settings)
+    Document { listen, list, seed, state, changes, settings }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -99,6 +99,7 @@
     pub async fn run(
         mut self,
         mut from_all: mpsc::UnboundedReceiver<ToHub>,
+        mut changed: mpsc::Receiver<Input>,
         mut stopping: watch::Receiver<bool>,
         grace: Duration,
     ) -> Result<(), String> {
@@ -117,6 +118,8 @@
                     end_at = Some(self.clock.now() + grace);
                     tracing::info!(open = self.core.open(), sessions = self.sessions.len(), "stopping");
                 }
+                // One part of a change a turn: however long it is, what flows goes on between them.
+                Some(change) = changed.recv() => self.turn(vec![change])?,
                 _ = from_all.recv_many(&mut messages, TURN) => {
                     let inputs = messages.drain(..).filter_map(|message| self.heard(message)).collect();
                     self.turn(inputs)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! granted before their requests were read.
 
 mod budget;
+mod changes;
 mod clock;
 mod hub;
 mod keeper;
@@ -19,15 +20,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinHandle;
 use umbertray_routing::{Core, Host, Settings};
 
+pub use changes::{Changes, acted};
 pub use clock::Clock;
 
 /// Where a gateway listens and whom it asks.
-#[derive(Clone, Debug)]
 pub struct Options {
     /// Where NBD clients connect; port 0 lets the system choose.
     pub listen: Vec<SocketAddr>,
@@ -37,6 +39,8 @@
     pub seed: u64,
     /// Where state is kept over restarts, if anywhere.
     pub state: Option<PathBuf>,
+    /// The log of changes that it follows, if any, read up to the settings that it starts with.
+    pub changes: Option<Changes>,
 }
 
 /// A gateway at work. Dropping it ends its tasks at once, as a kill would.
@@ -44,6 +48,7 @@
     pub addresses: Vec<SocketAddr>,
     stop: watch::Sender<bool>,
     hub: JoinHandle<Result<(), String>>,
+    present: Arc<ArcSwap<Settings>>,
     accepting: Vec<JoinHandle<()>>,
 }
 
@@ -56,6 +61,12 @@
         self.ended().await
     }
 
+    /// The volumes that clients can ask for now.
+    pub fn exports(&self) -> Vec<String> {
+        let settings = self.present.load();
+        settings.volumes.iter().filter(|volume| !volume.gone).map(|volume| volume.name.clone()).collect()
+    }
+
     /// Returns when the gateway cannot go on.
     pub async fn ended(&mut self) -> Result<(), String> {
         (&mut self.hub).await.unwrap_or_else(|error| Err(format!("the hub ended: {error}")))
@@ -88,13 +99,20 @@
     // A run's number is never used again, or a store would take its dispatches for those of the run before.
     let run = clock.now().as_nanos() as u64 ^ options.seed.rotate_left(32);
     let longest = settings.op_types.iter().map(|op_type| op_type.op_timeout).max().unwrap_or_default();
+    let (to_changes, changed) = mpsc::channel(1);
     let keeping =
         options.state.and_then(|folder| keeper::open(&folder, options.seed, &settings, to_hub.clone()));
     let (keeper, recalled) = keeping.unzip();
     let hub = hub::Hub::new(core, clock, settings.clone(), options.list, run, to_hub.clone());
     let hub = hub.keeping(keeper, recalled.flatten());
+    let present = Arc::new(ArcSwap::new(settings.clone()));
+    let (removing, removed) = watch::channel(0);
+    if let Some(changes) = options.changes {
+        changes::follow(changes, settings.clone(), present.clone(), removing, to_changes, to_hub.downgrade());
+    }
     let shared = Arc::new(session::Shared {
-        exports: session::Volumes::new(&settings),
+        present: present.clone(),
+        removed,
         budget: budget::Budget::new(&settings.bounds),
         settings: settings.clone(),
         clock,
@@ -110,8 +128,8 @@
         accepting.push(tokio::spawn(accept(listener, shared.clone(), places.clone())));
     }
     drop(shared);
-    let hub = tokio::spawn(hub.run(from_all, stopping, longest));
-    Ok(Running { addresses, stop, hub, accepting })
+    let hub = tokio::spawn(hub.run(from_all, changed, stopping, longest));
+    Ok(Running { addresses, stop, hub, present, accepting })
 }
 
 /// At the bound on sessions nothing is accepted; clients wait in the system's backlog.
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -34,7 +35,10 @@
 
 /// What all sessions of a gateway share.
 pub struct Shared {
-    pub exports: Volumes,
+    /// The settings that hold now; what a session has begun with is its own.
+    pub present: Arc<ArcSwap<Settings>>,
+    /// Counts the volumes that were removed.
+    pub removed: watch::Receiver<u64>,
     pub budget: Budget,
     pub settings: Arc<Settings>,
     pub clock: Clock,
@@ -44,33 +48,32 @@
     pub patience: Duration,
 }
 
-pub struct Volumes(Vec<Export>);
+/// The volumes there are, as clients see them.
+struct Volumes(Arc<Settings>);
 
 impl Volumes {
-    pub fn new(settings: &Settings) -> Volumes {
+    fn export(&self, volume: &umbertray_routing::settings::Volume) -> Export {
         // A flush reaches all shards that hold extents of the volume, whichever gateway wrote them, so that several
         // connections may be used as one.
         let flags = SEND_FLUSH | SEND_FUA | SEND_TRIM | SEND_WRITE_ZEROES | SEND_DF | CAN_MULTI_CONN;
-        let (minimum, maximum) = (MINIMUM_BLOCK, settings.bounds.request_bytes);
-        let blocks = BlockSizes { minimum, preferred: PREFERRED_BLOCK.min(maximum), maximum };
-        let export = |volume: &umbertray_routing::settings::Volume| Export {
+        let (minimum, maximum) = (MINIMUM_BLOCK, self.0.bounds.request_bytes);
+        Export {
             name: volume.name.clone(),
-            description: format!("plan {}", settings.plans[volume.plan].name),
+            description: format!("plan {}", self.0.plans[volume.plan].name),
             size: volume.size,
             flags,
-            blocks,
-        };
-        Volumes(settings.volumes.iter().map(export).collect())
+            blocks: BlockSizes { minimum, preferred: PREFERRED_BLOCK.min(maximum), maximum },
+        }
     }
 }
 
 impl Exports for Volumes {
     fn find(&self, name: &str) -> Option<Export> {
-        self.0.iter().find(|export| export.name == name).cloned()
+        self.0.names.get(name).map(|place| self.export(&self.0.volumes[*place]))
     }
 
     fn names(&self) -> Vec<String> {
-        self.0.iter().map(|export| export.name.clone()).collect()
+        self.0.volumes.iter().filter(|volume| !volume.gone).map(|volume| volume.name.clone()).collect()
     }
 }
 
@@ -140,16 +143,25 @@
         self.stream.set_nodelay(true)?;
         let mut stopping = self.shared.stopping.clone();
         let mut stopped = *stopping.borrow_and_update();
+        let mut removed = self.shared.removed.clone();
         let mut parts = Vec::new();
         loop {
-            if stopped {
+            // What is open of a volume that was removed gets its answers; nothing more is taken.
+            let over = stopped || self.gone();
+            if over {
                 self.session.shut_down();
             }
             self.receive()?;
             self.flush()?;
             let idle = self.session.open() == 0 && self.queue.is_empty();
-            if idle && (matches!(self.door, Door::Shut) || stopped) {
-                return Ok(if stopped { "stopping" } else { "goodbye" });
+            if idle && (matches!(self.door, Door::Shut) || over) {
+                return Ok(if stopped {
+                    "stopping"
+                } else if over {
+                    "its volume was removed"
+                } else {
+                    "goodbye"
+                });
             }
             let may_read = matches!(self.door, Door::Open | Door::Granted(_))
                 && self.session.open() < self.shared.settings.bounds.requests_a_session;
@@ -180,6 +192,7 @@
                 changed = stopping.changed(), if !stopped => {
                     stopped = changed.is_err() || *stopping.borrow();
                 }
+                Ok(()) = removed.changed() => {}
                 () = tokio::time::sleep_until(deadline.into()), if may_read && half => {
                     return Err(io::Error::new(io::ErrorKind::TimedOut, "the client's bytes came too slowly"));
                 }
@@ -187,6 +200,12 @@
         }
     }
 
+    fn gone(&self) -> bool {
+        let removed =
+            |place: usize| self.shared.present.load().volumes.get(place).is_none_or(|volume| volume.gone);
+        self.volume.is_some_and(removed)
+    }
+
     /// Reads what is there; false at the end.
     fn read(&mut self) -> io::Result<bool> {
         // An idle session holds no buffer.
@@ -214,12 +233,12 @@
     fn receive(&mut self) -> io::Result<()> {
         let most = self.shared.settings.bounds.requests_a_session;
         while matches!(self.door, Door::Open | Door::Granted(_)) && self.session.open() < most {
-            let step = self.session.receive(&mut self.input, &self.shared.exports);
+            let exports = Volumes(self.shared.present.load_full());
+            let step = self.session.receive(&mut self.input, &exports);
             match step.map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))? {
                 Step::More => break,
                 Step::Attached(export) => {
-                    let volumes = &self.shared.settings.volumes;
-                    self.volume = volumes.iter().position(|volume| volume.name == export.name);
+                    self.volume = exports.0.names.get(&export.name).copied();
                     self.begun = self.read_at;
                     tracing::info!(session = self.id.0, export = export.name, "session attached");
                 }
--- a/crates/nbd/tests/session.rs
+++ b/crates/nbd/tests/session.rs
@@ -276,5 +276,8 @@
         _ = client.receive(&mut replies);
         true
     }
-    QuickCheck::new().rng(Gen::new(200)).tests(500).quickcheck(survives as fn(Vec<u8>, bool) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 1))
+        .tests(500)
+        .quickcheck(survives as fn(Vec<u8>, bool) -> bool);
 }
--- a/crates/routing/src/core.rs
+++ b/crates/routing/src/core.rs
@@ -18,7 +18,7 @@
 use crate::piece::{OpenRequest, Piece, Sent, Stage, Way};
 use crate::places::{Asked, Places};
 use crate::recall::{self, Recall};
-use crate::settings::Settings;
+use crate::settings::{Settings, Step};
 use crate::split::cuts;
 use crate::timers::{Timer, Timers};
 use crate::verdict::{PieceEnd, Verdict, whole};
@@ -117,6 +117,7 @@
             Input::Store { store, message, at } => self.store_said(store, message, at),
             Input::List(message) => self.list_said(message),
             Input::ListLost => self.list_failed(),
+            Input::Changed { settings, steps } => self.changed(settings, &steps),
             Input::Remember { promised } => {
                 self.promised = promised;
                 self.events.push(Event::Remember { promised });
@@ -130,6 +131,23 @@
         }
     }
 
+    /// What is open goes on as it came: its time, its kind and its volume's place do not change. The module is told of
+    /// figures before it is told of volumes that go by them.
+    fn changed(&mut self, settings: Arc<Settings>, steps: &[Step]) {
+        let new = settings.volumes.iter().skip(self.volumes.len());
+        self.volumes.extend(new.map(|volume| volume_id(&volume.name)));
+        if steps.iter().any(|step| matches!(step, Step::Figures | Step::Plan(_))) {
+            self.events.push(Event::Changed { settings: settings.for_module() });
+        }
+        for step in steps {
+            let Step::Volume(place) = step else { continue };
+            let Some(volume) = settings.volumes.get(*place) else { continue };
+            let (plan, gateways) = (volume.plan, f64::from(volume.gateways));
+            self.events.push(Event::Moved { volume: VolumeId(*place as u32), plan, gateways });
+        }
+        self.settings = settings;
+    }
+
     fn ring(&mut self, timer: Timer) {
         match timer {
             Timer::Module(token) => self.events.push(Event::Timer { token }),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use self::core::Core;
 pub use saved::Saved;
-pub use settings::Settings;
+pub use settings::{Settings, Step};
 pub use umbertray::interface::StoreId;
 pub use verdict::Verdict;
 
@@ -91,6 +91,12 @@
     List(FromList),
     /// The connection to the list broke or could not be made.
     ListLost,
+    /// These settings hold from now on, and this is what changed; the places of what was there stay. What a long change
+    /// does may come in parts, each with the settings that hold after all of it.
+    Changed {
+        settings: Arc<Settings>,
+        steps: Vec<Step>,
+    },
     /// What is known is to be saved; the answer is [`Output::Save`]. Its floors hold for so long.
     Remember {
         promised: Duration,
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use imbl::{HashMap, Vector};
 use umbertray_store_wire::store::Work;
 
 /// How often an effect may happen, as the module knows it.
@@ -50,6 +51,8 @@
     /// Units a second that are reserved.
     pub reserve: f64,
     pub limit: Option<Limit>,
+    /// It is no more; its place stays, so that those of the others do.
+    pub gone: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -60,6 +63,8 @@
     pub plan: usize,
     /// Through how many gateways its ops come.
     pub gateways: u32,
+    /// It is no more; its place stays, for what is still open of it.
+    pub gone: bool,
 }
 
 /// The figures of the rules, as the operators state them.
@@ -74,6 +79,8 @@
     pub order_pause: Duration,
     pub further: Option<Further>,
     pub ask_within: Duration,
+    /// Units a second that all stores can do together, if it is known: more cannot be reserved.
+    pub capacity: Option<f64>,
 }
 
 /// The budget of further dispatches: so many, and a share of the ops taken, in any span.
@@ -101,8 +108,10 @@
 pub struct Settings {
     pub op_types: Vec<OpType>,
     pub type_rules: Vec<TypeRule>,
-    pub plans: Vec<Plan>,
-    pub volumes: Vec<Volume>,
+    pub plans: Vector<Plan>,
+    pub volumes: Vector<Volume>,
+    /// Places of the volumes there are, by name.
+    pub names: HashMap<String, usize>,
     pub gateways: u32,
     pub extent_bytes: u32,
     /// Bytes that count as one unit, and the most units that one op counts.
@@ -118,7 +127,32 @@
     pub bounds: Bounds,
 }
 
+/// What changed in service, by the places of plans and volumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Figures of op types, request rules or the rules.
+    Figures,
+    /// A plan's figures, a new plan, or one that is gone.
+    Plan(usize),
+    /// A volume that is new, of another plan or size, or comes through another number of gateways.
+    Volume(usize),
+    Removed(usize),
+}
+
 impl Settings {
+    /// Puts a volume in its place, or in the next.
+    pub fn put_volume(&mut self, place: usize, volume: Volume) {
+        if volume.gone {
+            self.names.remove(&volume.name);
+        } else {
+            self.names.insert(volume.name.clone(), place);
+        }
+        match self.volumes.get_mut(place) {
+            Some(known) => *known = volume,
+            None => self.volumes.push_back(volume),
+        }
+    }
+
     /// The op type of a request, by the first rule that fits; the last op type where none does.
     pub fn op_type(&self, work: Work, length: u32) -> usize {
         let fits =
@@ -157,6 +191,10 @@
         put("plans.count".into(), self.plans.len().to_string());
         for (i, plan) in self.plans.iter().enumerate() {
             let name = |field: &str| format!("plans.{i}.{field}");
+            if plan.gone {
+                put(name("gone"), "true".into());
+                continue;
+            }
             put(name("weight"), plan.weight.to_string());
             put(name("rate"), plan.rate.to_string());
             put(name("reserve"), plan.reserve.to_string());
--- a/crates/routing/tests/world.rs
+++ b/crates/routing/tests/world.rs
@@ -42,8 +42,10 @@
             rule(&[Work::Write, Work::Flush], 1),
             rule(&[Work::Zero], 2),
         ],
-        plans: vec![Plan { name: "p".into(), weight: 1.0, rate: 1000.0, reserve: 0.0, limit: None }],
-        volumes: vec![Volume { name: "v".into(), size: 1 << 20, plan: 0, gateways: 2 }],
+        plans: [Plan { name: "p".into(), weight: 1.0, rate: 1000.0, reserve: 0.0, limit: None, gone: false }]
+            .into(),
+        volumes: [Volume { name: "v".into(), size: 1 << 20, plan: 0, gateways: 2, gone: false }].into(),
+        names: [("v".to_string(), 0)].into_iter().collect(),
         gateways: 2,
         extent_bytes: EXTENT,
         unit_bytes: 4096,
@@ -54,6 +56,7 @@
         connect_timeout: ms(100),
         tick: ms(2),
         rules: Rules {
+            capacity: None,
             drain_grace: ms(500),
             cold_from: 0.5,
             cold_time: ms(2000),
@@ -346,7 +349,10 @@
             side.core.open() == 0 && side.asked.values().all(answered)
         })
     }
-    QuickCheck::new().rng(Gen::new(400)).tests(300).quickcheck(keeps as fn(Vec<u16>) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 1))
+        .tests(300)
+        .quickcheck(keeps as fn(Vec<u16>) -> bool);
 }
 
 #[test]
--- a/crates/state/src/change.rs
+++ b/crates/state/src/change.rs
@@ -202,7 +202,10 @@
                 read.at == stamp(n) && volumes && stores && counts == (now.volumes.len(), now.stores.len())
             })
         }
-        QuickCheck::new().rng(Gen::new(20)).tests(500).quickcheck(keeps as fn(Vec<Vec<u32>>) -> bool);
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(20, 1))
+            .tests(500)
+            .quickcheck(keeps as fn(Vec<Vec<u32>>) -> bool);
     }
 
     #[test]
--- a/crates/state/src/format.rs
+++ b/crates/state/src/format.rs
@@ -86,7 +86,7 @@
 }
 
 /// Takes the next whole record off `bytes`; nothing where it is not whole, and then `bytes` stays.
-fn next<T: DeserializeOwned>(bytes: &mut &[u8]) -> Option<T> {
+pub fn next<T: DeserializeOwned>(bytes: &mut &[u8]) -> Option<T> {
     let (length, rest) = bytes.split_first_chunk::<4>()?;
     let (crc, rest) = rest.split_first_chunk::<4>()?;
     let size = u32::from_le_bytes(*length) as usize;
--- a/crates/state/src/layer.rs
+++ b/crates/state/src/layer.rs
@@ -1,14 +1,20 @@
 //! The few things asked of a disk.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 /// A folder of small files. Nothing is safe before it is synced: bytes by `sync`, names by `sync_folder`.
 pub trait Layer: Send {
     fn names(&self) -> io::Result<Vec<String>>;
     /// At most so many bytes.
     fn read(&self, name: &str, most: usize) -> io::Result<Vec<u8>>;
+    /// So many bytes from there on, or fewer where the file ends.
+    fn read_on(&self, name: &str, from: u64, most: usize) -> io::Result<Vec<u8>> {
+        let bytes = self.read(name, (from as usize).saturating_add(most))?;
+        Ok(bytes.get(from as usize..).unwrap_or_default().to_vec())
+    }
     /// A new file with this content; one of that name is replaced.
     fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
@@ -35,6 +41,19 @@
         Ok(Disk { folder: folder.into(), _lock: Some(lock) })
     }
 
+    /// As `open`, but waits for whoever has the folder, at most so long.
+    pub fn open_waiting(folder: &Path, patience: Duration) -> io::Result<Disk> {
+        let end = Instant::now() + patience;
+        loop {
+            match Disk::open(folder) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && Instant::now() < end => {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                opened => return opened,
+            }
+        }
+    }
+
     /// Opens a folder to look at, whoever writes in it.
     pub fn look(folder: &Path) -> Disk {
         Disk { folder: folder.into(), _lock: None }
@@ -57,6 +76,14 @@
         Ok(bytes)
     }
 
+    fn read_on(&self, name: &str, from: u64, most: usize) -> io::Result<Vec<u8>> {
+        let mut file = File::open(self.path(name))?;
+        file.seek(SeekFrom::Start(from))?;
+        let mut bytes = Vec::new();
+        file.take(most as u64).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
     fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         File::create(self.path(name))?.write_all(bytes)
     }
--- a/crates/state/src/sim.rs
+++ b/crates/state/src/sim.rs
@@ -34,6 +34,8 @@
     step: u64,
     trouble: BTreeMap<u64, Trouble>,
     crashed: bool,
+    /// What each file had in the page cache when the machine stopped.
+    at_crash: Vec<Option<Vec<u8>>>,
 }
 
 /// Cloning shares the disk.
@@ -60,6 +62,18 @@
         self.state().crashed
     }
 
+    /// What any process could read at the crash, synced or not.
+    pub fn seen(&self) -> SimDisk {
+        let state = self.state();
+        let files = state.files.iter().enumerate().map(|(n, file)| {
+            let at_crash = state.at_crash.get(n).cloned().flatten();
+            let written = at_crash.unwrap_or_else(|| file.written.clone());
+            File { synced: written.clone(), written }
+        });
+        let seen = State { files: files.collect(), names: state.names.clone(), ..State::default() };
+        SimDisk { state: Arc::new(Mutex::new(seen)) }
+    }
+
     /// The disk as it is found after a crash, what was not synced drawn by the seed.
     pub fn after_crash(&self, seed: u64) -> SimDisk {
         let state = self.state();
@@ -108,6 +122,7 @@
         match state.trouble.get(&step) {
             Some(Trouble::Crash) => {
                 state.crashed = true;
+                state.at_crash = state.files.iter().map(|file| Some(file.written.clone())).collect();
                 Err(io::Error::other("the machine stops"))
             }
             Some(Trouble::Fail) => Err(io::ErrorKind::StorageFull.into()),
--- a/crates/state/tests/crashes.rs
+++ b/crates/state/tests/crashes.rs
@@ -85,7 +85,10 @@
                 || later == 0 && (again == n || again == 100 || n == 0)
         })
     }
-    QuickCheck::new().rng(Gen::new(12)).tests(60).quickcheck(keeps as fn(Vec<u16>, u64) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 1))
+        .tests(60)
+        .quickcheck(keeps as fn(Vec<u16>, u64) -> bool);
 }
 
 #[test]
@@ -98,7 +101,10 @@
         let (_, n, _) = open(&disk.after_crash(seed));
         n >= safe
     }
-    QuickCheck::new().rng(Gen::new(12)).tests(300).quickcheck(keeps as fn(Vec<u16>, u8, u64) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 1))
+        .tests(300)
+        .quickcheck(keeps as fn(Vec<u16>, u8, u64) -> bool);
 }
 
 #[test]
--- a/crates/store-wire/tests/frames.rs
+++ b/crates/store-wire/tests/frames.rs
@@ -160,5 +160,8 @@
         _ = next_frame::<FromList>(&mut copy());
         true
     }
-    QuickCheck::new().rng(Gen::new(100)).tests(2000).quickcheck(survives as fn(u8, Vec<u8>) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 1))
+        .tests(2000)
+        .quickcheck(survives as fn(u8, Vec<u8>) -> bool);
 }
--- /dev/null
+++ b/crates/versions/src/lib.rs
@@ -0,0 +1,21 @@
+//! Configuration as versions: plans, volumes, op types and rules that change in service, each change on record.
+//!
+//! [`model`] is the configuration as data and the places in it; [`change`] a transaction on a version and what it
+//! conflicts with; [`guard`] what needs an explicit word; [`version`] a checked version and the step to the next;
+//! [`log`] the hash-chained log they are committed to; [`follow`] a gateway's reading of it. docs/versions.md weighs the
+//! ways; docs/changing.md is the operators' page.
+
+pub mod change;
+pub mod follow;
+pub mod guard;
+pub mod log;
+pub mod model;
+pub mod segment;
+pub mod version;
+
+pub use change::{Change, Conflict, Refused};
+pub use follow::Follower;
+pub use guard::Guard;
+pub use log::Log;
+pub use model::{Configuration, Edit, Key, Kind, Path};
+pub use version::{Step, Version};
--- /dev/null
+++ b/crates/versions/src/log.rs
@@ -0,0 +1,330 @@
+//! The log: where changes are committed, one after another. The commit point is the synced record.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+
+use umbertray_state::Layer;
+use umbertray_state::format::{MOST_FILE, record};
+
+use crate::change::{Change, Refused, conflicts, formed};
+use crate::guard;
+use crate::model::Configuration;
+use crate::segment::{self, Broken, Done, Hash, Head, Item, Reader, name, version_of};
+use crate::version::{Step, Version};
+
+const FRESH: &str = "changes.new";
+
+/// A segment grows to so many bytes, or to twice what it begins with if that is more, before a new one is begun.
+pub const GROWN: usize = 1 << 20;
+
+/// So many changes are known by their ids, for those sent again.
+pub const MOST_DONE: usize = 10_000;
+
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    #[error("{file}: {why}")]
+    Broken { file: String, why: Broken },
+    #[error(transparent)]
+    Disk(#[from] io::Error),
+}
+
+/// What became of a change.
+#[derive(Clone, Debug)]
+pub struct Committed {
+    pub version: u64,
+    /// It had been done before, under the same id.
+    pub again: bool,
+    pub steps: Vec<Step>,
+}
+
+/// A change's place in the history.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Past {
+    pub version: u64,
+    pub hash: Hash,
+    pub change: Change,
+}
+
+pub struct Log {
+    layer: Box<dyn Layer>,
+    head: Version,
+    hash: Hash,
+    done: VecDeque<Done>,
+    by_id: HashMap<String, (u64, u64)>,
+    /// Changes of the present segment, in order, and the version before them.
+    recent: Vec<Past>,
+    since: u64,
+    size: usize,
+    base: usize,
+    most_grown: usize,
+    /// A write failed: what is on the disk is not known before the log is opened again.
+    doubtful: bool,
+    /// Bytes cut off the end at the opening: a write that was never finished.
+    pub torn: usize,
+}
+
+/// The segments there are, by the version that each begins after.
+pub fn segments(layer: &dyn Layer) -> io::Result<Vec<u64>> {
+    let mut all: Vec<u64> = layer.names()?.iter().filter_map(|name| version_of(name)).collect();
+    all.sort_unstable();
+    Ok(all)
+}
+
+/// A segment as read: how it begins, its changes, and what follows the last whole record.
+pub struct Segment {
+    pub head: Head,
+    pub reader: Reader,
+    pub changes: Vec<Past>,
+    pub rest: usize,
+    /// Bytes of all of it, and of what comes before its changes.
+    size: usize,
+    base: usize,
+}
+
+pub fn read_segment(layer: &dyn Layer, first: u64) -> Result<Segment, LogError> {
+    let file = name(first);
+    let broken = |why| LogError::Broken { file: file.clone(), why };
+    let bytes = layer.read(&file, MOST_FILE)?;
+    let (mut reader, head) = Reader::open(&bytes).map_err(broken)?;
+    if head.version != first {
+        return Err(broken(Broken::Head));
+    }
+    let base = reader.read as usize;
+    let changes = reader.feed(&bytes[reader.read as usize..]).map_err(broken)?;
+    let rest = &bytes[reader.read as usize..];
+    if segment::whole_record_in(rest) {
+        return Err(broken(Broken::Middle(reader.version + 1)));
+    }
+    let changes = changes.into_iter().map(|(version, change, hash)| Past { version, hash, change });
+    Ok(Segment { head, changes: changes.collect(), rest: rest.len(), size: bytes.len(), base, reader })
+}
+
+/// The version that a segment begins with.
+pub fn checkpoint(head: &Head) -> Result<Version, Broken> {
+    let wrong = |what: String| Broken::Wrong { version: head.version, what };
+    let configuration =
+        Configuration::of_bytes(&head.checkpoint).ok_or_else(|| wrong("no checkpoint".into()))?;
+    Version::read(head.version, &configuration).map_err(|problems| wrong(problems.join("; ")))
+}
+
+/// The next version as a committed change makes it.
+pub fn replay(version: &Version, past: &Past) -> Result<(Version, Vec<Step>), Broken> {
+    let wrong = |problems: Vec<String>| Broken::Wrong { version: past.version, what: problems.join("; ") };
+    version.next(&past.change.edits).map_err(wrong)
+}
+
+impl Log {
+    /// Opens the log of a folder that no other writer has; a folder without one has version 0.
+    pub fn open(layer: Box<dyn Layer>, most_grown: usize) -> Result<Log, LogError> {
+        let Some(newest) = segments(&*layer)?.last().copied() else {
+            let mut log = Log::at(layer, Version::empty(), [0; 32], VecDeque::new(), most_grown);
+            log.roll()?;
+            return Ok(log);
+        };
+        let segment = read_segment(&*layer, newest)?;
+        let broken = |why| LogError::Broken { file: name(newest), why };
+        let mut version = checkpoint(&segment.head).map_err(broken)?;
+        for past in &segment.changes {
+            version = replay(&version, past).map_err(broken)?.0;
+        }
+        let mut log = Log::at(layer, version, segment.reader.hash, segment.head.done, most_grown);
+        segment.changes.iter().for_each(|past| log.remember(past));
+        (log.since, log.size, log.base, log.torn) = (newest, segment.size, segment.base, segment.rest);
+        log.recent = segment.changes;
+        if segment.rest > 0 {
+            // Whether the last whole change was synced is not known; the new segment, which holds it, is.
+            log.roll()?;
+        } else if segment.reader.safe < log.head.number {
+            log.layer.sync(&name(newest))?;
+            log.mark()?;
+        }
+        Ok(log)
+    }
+
+    fn at(layer: Box<dyn Layer>, head: Version, hash: Hash, done: VecDeque<Done>, most_grown: usize) -> Log {
+        let by_id = done.iter().map(|(id, version, like)| (id.clone(), (*version, *like))).collect();
+        let (recent, since) = (Vec::new(), head.number);
+        let (size, base, doubtful, torn) = (0, 0, false, 0);
+        Log { layer, head, hash, done, by_id, recent, since, size, base, most_grown, doubtful, torn }
+    }
+
+    pub fn head(&self) -> &Version {
+        &self.head
+    }
+
+    /// Where it lies, to look at.
+    pub fn layer(&self) -> &dyn Layer {
+        &*self.layer
+    }
+
+    pub fn hash(&self) -> Hash {
+        self.hash
+    }
+
+    fn remember(&mut self, past: &Past) {
+        let like = segment::likeness(&past.change);
+        self.by_id.insert(past.change.id.clone(), (past.version, like));
+        self.done.push_back((past.change.id.clone(), past.version, like));
+        if self.done.len() > MOST_DONE
+            && let Some((id, ..)) = self.done.pop_front()
+        {
+            self.by_id.remove(&id);
+        }
+    }
+
+    /// What a change would come to, without doing it.
+    pub fn plan(&self, change: &Change) -> Result<(Version, Vec<Step>), Refused> {
+        formed(change)?;
+        let head = self.head.number;
+        if change.base > head {
+            return Err(Refused::NoSuchBase { base: change.base, head });
+        }
+        let all = (change.base < self.since).then(|| self.history(change.base)).transpose()?;
+        let past = all.as_ref().unwrap_or(&self.recent);
+        let since = past.iter().filter(|past| past.version > change.base);
+        let met = conflicts(change, since.map(|past| (past.version, &past.change)));
+        if !met.is_empty() {
+            return Err(Refused::Conflict(met));
+        }
+        let (next, steps) = self.head.next(&change.edits).map_err(Refused::Invalid)?;
+        let mut guarded = guard::guarded(&self.head, &next, &steps);
+        guarded.retain(|found| !change.allow.contains(&found.guard));
+        if guarded.is_empty() { Ok((next, steps)) } else { Err(Refused::Guarded(guarded)) }
+    }
+
+    /// Commits a change on the newest version, or does nothing of it. One that was done before is not done again.
+    pub fn commit(&mut self, change: Change) -> Result<Committed, Refused> {
+        if self.doubtful {
+            return Err(io::Error::other("an earlier write failed; open the log again").into());
+        }
+        if let Some((version, like)) = self.by_id.get(&change.id).copied() {
+            let steps = Vec::new();
+            return if like == segment::likeness(&change) {
+                Ok(Committed { version, again: true, steps })
+            } else {
+                Err(Refused::IdTaken { id: change.id, version })
+            };
+        }
+        let (next, steps) = self.plan(&change)?;
+        let written = self.write(&change);
+        self.doubtful = written.is_err();
+        let hash = written?;
+        let past = Past { version: next.number, hash, change };
+        self.remember(&past);
+        self.recent.push(past);
+        (self.head, self.hash) = (next, hash);
+        // What follows the commit point may fail without undoing it.
+        self.doubtful = self.mark().is_err();
+        Ok(Committed { version: self.head.number, again: false, steps })
+    }
+
+    fn write(&mut self, change: &Change) -> io::Result<Hash> {
+        if self.size > self.most_grown.max(2 * self.base) {
+            self.roll()?;
+        }
+        let body = segment::body(change);
+        let hash = segment::chained(&self.hash, &body);
+        let bytes = record(&Item::Change { body, hash }).ok_or(io::ErrorKind::FileTooLarge)?;
+        let file = name(self.since);
+        self.layer.append(&file, &bytes)?;
+        self.layer.sync(&file)?;
+        self.size += bytes.len();
+        Ok(hash)
+    }
+
+    /// Says that the log is safe up to its head, so that gateways act on it.
+    fn mark(&mut self) -> io::Result<()> {
+        let bytes = record(&Item::Safe { version: self.head.number }).ok_or(io::ErrorKind::FileTooLarge)?;
+        self.size += bytes.len();
+        self.layer.append(&name(self.since), &bytes)
+    }
+
+    /// Begins a new segment with all that is known; whole and synced before it has its name.
+    fn roll(&mut self) -> io::Result<()> {
+        let version = self.head.number;
+        let checkpoint = self.head.configuration.bytes();
+        let head = Head { version, hash: self.hash, checkpoint, done: self.done.clone() };
+        let bytes = segment::opening(head).ok_or(io::ErrorKind::FileTooLarge)?;
+        self.layer.write(FRESH, &bytes)?;
+        self.layer.sync(FRESH)?;
+        self.layer.rename(FRESH, &name(version))?;
+        self.layer.sync_folder()?;
+        (self.since, self.size, self.base) = (version, bytes.len(), bytes.len());
+        self.recent.clear();
+        Ok(())
+    }
+
+    /// The changes after a version, from all segments.
+    pub fn history(&self, after: u64) -> io::Result<Vec<Past>> {
+        history(&*self.layer, after).map_err(|error| match error {
+            LogError::Disk(error) => error,
+            broken => io::Error::other(broken.to_string()),
+        })
+    }
+}
+
+/// The changes after a version, in order, with no gap.
+pub fn history(layer: &dyn Layer, after: u64) -> Result<Vec<Past>, LogError> {
+    let all = segments(layer)?;
+    let begin = all.partition_point(|first| *first <= after).saturating_sub(1);
+    let mut past: Vec<Past> = Vec::new();
+    let mut known: Option<(u64, Hash)> = None;
+    for first in &all[begin..] {
+        let segment = read_segment(layer, *first)?;
+        let broken = |why| LogError::Broken { file: name(*first), why };
+        if let Some((version, hash)) = known {
+            if version < *first {
+                return Err(broken(Broken::Missing { from: version + 1, to: *first }));
+            }
+            // A segment may have been followed by one that begins before its end: what a crash left unsure.
+            past.retain(|past| past.version <= *first);
+            if version == *first && hash != segment.head.hash {
+                return Err(broken(Broken::Chain(*first)));
+            }
+        }
+        known = Some((segment.reader.version, segment.reader.hash));
+        past.extend(segment.changes);
+    }
+    past.retain(|past| past.version > after);
+    Ok(past)
+}
+
+/// The configuration of any version, rebuilt from the nearest checkpoint before it.
+pub fn version(layer: &dyn Layer, number: u64) -> Result<Version, LogError> {
+    let all = segments(layer)?;
+    let Some(first) = all.iter().rev().find(|first| **first <= number) else {
+        return Err(LogError::Broken { file: name(0), why: Broken::Missing { from: 0, to: number } });
+    };
+    let segment = read_segment(layer, *first)?;
+    let broken = |why| LogError::Broken { file: name(*first), why };
+    let mut version = checkpoint(&segment.head).map_err(broken)?;
+    for past in segment.changes.iter().take_while(|past| past.version <= number) {
+        version = replay(&version, past).map_err(broken)?.0;
+    }
+    if version.number < number {
+        return Err(broken(Broken::Missing { from: version.number + 1, to: number }));
+    }
+    Ok(version)
+}
+
+/// Rebuilds all from the oldest segment on and compares every checkpoint, byte for byte; the newest version.
+pub fn verify(layer: &dyn Layer) -> Result<u64, LogError> {
+    let all = segments(layer)?;
+    let Some(first) = all.first().copied() else { return Ok(0) };
+    let segment = read_segment(layer, first)?;
+    let mut version = checkpoint(&segment.head).map_err(|why| LogError::Broken { file: name(first), why })?;
+    let past = history(layer, first)?;
+    let mut changes = past.iter();
+    for first in all.into_iter().skip(1).chain([u64::MAX]) {
+        while version.number < first {
+            let Some(past) = changes.next() else { break };
+            let broken = |why| LogError::Broken { file: "the chain".into(), why };
+            version = replay(&version, past).map_err(broken)?.0;
+        }
+        if first < u64::MAX && read_segment(layer, first)?.head.checkpoint != version.configuration.bytes() {
+            let what = "its checkpoint is not what the changes before it make".to_string();
+            return Err(LogError::Broken { file: name(first), why: Broken::Wrong { version: first, what } });
+        }
+    }
+    Ok(version.number)
+}
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -90,7 +90,10 @@
         let actions = |world: World| world.sides.into_iter().map(|side| side.actions).collect::<Vec<_>>();
         actions(day(&steps)) == actions(day(&steps))
     }
-    QuickCheck::new().rng(Gen::new(600)).tests(150).quickcheck(keeps as fn(Vec<u16>) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(600, 1))
+        .tests(150)
+        .quickcheck(keeps as fn(Vec<u16>) -> bool);
 }
 
 #[test]
