--- a/crates/cli/src/measure/changes.rs
+++ b/crates/cli/src/measure/changes.rs
@@ -46,7 +46,7 @@
     match n % 10 {
         0 => set(Key::new(Kind::Plan, "basic"), "weight", json!(1.0 + (n % 7) as f64 / 10.0)),
         1..6 => {
-            let plan = if n / VOLUMES % 2 == 0 { "priority" } else { "basic" };
+            let plan = if (n / VOLUMES).is_multiple_of(2) { "priority" } else { "basic" };
             set(volume(format!("v{}", n * 7919 % VOLUMES)), "plan", json!(plan))
         }
         _ => Edit::Put { key: volume(format!("m{}", n % 1000)), fields: fields("basic") },
