Look for what may go only where something fits, and by tag until one may

The module's work an op grew with what is held: at each event it picked anew for every volume at every store, also where the cap was full, and summed what is out for each held op. Now a store that not even the least op fits into is passed by, volumes are looked through in the order of their tags until one may go, and the sum is kept.

--- a/crates/cli/src/measure/changes.rs
+++ b/crates/cli/src/measure/changes.rs
@@ -196,13 +196,14 @@
     Ok(())
 }
 
-/// Bytes that one more version costs while all are held, by what the process holds.
+/// Bytes that one more version costs while all are held, by what the process holds; so many that what was freed before
+/// does not hide them.
 fn memory() -> Result<(), String> {
     let layer = umbertray_state::sim::SimDisk::default();
     let first = begin(Box::new(layer), VOLUMES)?;
     let mut versions: Vec<Version> = vec![first.head().clone()];
     let before = super::resident(std::process::id())?;
-    for n in 0..10_000 {
+    for n in 0..100_000 {
         let last = &versions[versions.len() - 1];
         versions.push(last.next(&[nth(n)]).map_err(|problems| problems.join("; "))?.0);
     }
--- /dev/null
+++ b/examples/cost.rs
@@ -0,0 +1,109 @@
+//! Time in the module's one entry point an op done, as what is held grows. `cargo run --release --example cost`
+//!
+//! One gateway in its own time: each dispatch is acked after 1 ms, and for each op that ends another comes, so that as
+//! many stay open. All ops are of one plan and type, one unit each.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use umbertray::choice::Gateway;
+use umbertray::interface::*;
+
+const ANSWER: Duration = Duration::from_millis(1);
+
+fn settings() -> Settings {
+    let text = "gateways=1 tick=0.002 stores.mean_units=1 stores.cold_units=8 limits.max_dispatches=3 \
+        limits.max_retry_after=1 rules.cold_from=0.25 rules.cold_time=8 rules.fall_time=1 rules.order_pause=0.3 \
+        rules.further_free=1 rules.further_share=0.2 rules.further_span=2 rules.ask_within=10 plans.count=1 \
+        plans.0.weight=1 plans.0.rate=1000000 op_types.count=1 op_types.0.repeats=replayable \
+        op_types.0.utility=1 op_types.0.target_latency=20 op_types.0.op_timeout=60 op_types.0.in_order=false";
+    let pairs = text.split_whitespace().filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
+}
+
+fn op(id: u32, volumes: u32, stores: u32) -> Op {
+    // Any order will do that spreads volumes over stores.
+    let drawn = id.wrapping_mul(2_654_435_761);
+    let volume = drawn % volumes;
+    Op {
+        id: OpId(id),
+        units: 1.0,
+        volume: VolumeId(volume),
+        volume_name: volume.into(),
+        key: None,
+        shard: Some(volume % stores),
+        left: Duration::from_secs(60),
+        plan: 0,
+        op_type: 0,
+        gateways: 1.0,
+    }
+}
+
+/// Microseconds in the module an op done, over so many done.
+fn cost(stores: u32, volumes: u32, open: u32, wanted: u32) -> f64 {
+    let (mut gateway, mut now) = (Gateway::default(), Duration::from_secs(1000));
+    let listing =
+        |n| Listing { store: StoreId(n), shard: n, zone: 0, started: None, state: StoreState::Ready };
+    let list = Event::List(ListNews::Full((0..stores).map(listing).collect()));
+    let mut events = vec![Event::Start { seed: 1, settings: settings() }, list];
+    events.extend((0..open).map(|id| Event::Arrived(op(id, volumes, stores))));
+    let (mut next, mut done, mut counted) = (open, 0u32, 0u32);
+    let (mut out, mut timer) = (VecDeque::new(), Duration::MAX);
+    let mut spent = Duration::ZERO;
+    while counted < wanted {
+        let began = Instant::now();
+        let actions = gateway.handle(now, std::mem::take(&mut events));
+        // The first time that all have been through is not counted.
+        if done > open {
+            spent += began.elapsed();
+        }
+        for action in actions {
+            match action {
+                Action::Dispatch { op, store, .. } => out.push_back((now + ANSWER, op, store)),
+                Action::Timer { at, .. } => timer = at,
+                Action::Throttle { op: ended, .. } | Action::Abort { op: ended } => {
+                    panic!("{ended:?} was turned away: the load is not what is to be measured")
+                }
+                _ => {}
+            }
+        }
+        now = out.front().map_or(timer, |(at, ..)| timer.min(*at));
+        if timer <= now {
+            events.push(Event::Timer { token: 0 });
+            timer = Duration::MAX;
+        }
+        // Answers come one by one, as a loop that is not behind sees them.
+        if let Some((_, op_id, store)) = out
+            .front()
+            .is_some_and(|(at, ..): &(Duration, OpId, StoreId)| *at <= now)
+            .then(|| out.pop_front())
+            .flatten()
+        {
+            let (latency, report) = (ANSWER, Vec::new());
+            events.push(Event::Answered(Answer {
+                op: op_id,
+                dispatch: 0,
+                store,
+                outcome: Outcome::Acked,
+                latency,
+                ended: true,
+                used: None,
+                elsewhere: 0.0,
+                report,
+            }));
+            events.push(Event::Arrived(op(next, volumes, stores)));
+            counted += u32::from(done > open);
+            (next, done) = (next + 1, done + 1);
+        }
+    }
+    spent.as_secs_f64() * 1e6 / f64::from(counted)
+}
+
+fn main() {
+    let cases =
+        [(10, 10, 100), (10, 100, 1000), (10, 1000, 1000), (50, 1000, 16_000), (500, 10_000, 100_000)];
+    for (stores, volumes, open) in cases {
+        let us = cost(stores, volumes, open, 20_000);
+        println!("{stores} stores, {volumes} volumes, {open} open: {us:.1} us an op");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -139,6 +139,7 @@
     /// Units sent, with their times, within the last span of the rule on cold stores.
     spent: Vec<(Duration, f64)>,
     out: BTreeMap<(OpId, u32), (Duration, f64)>,
+    units_out: f64,
     volumes: BTreeMap<VolumeId, Share>,
     turn: Option<Turn>,
     last_key: Option<u64>,
@@ -155,9 +156,6 @@
 }
 
 impl Store {
-    fn units_out(&self) -> f64 {
-        self.out.values().map(|(_, units)| units).sum()
-    }
     fn ready(&self) -> bool {
         self.listing.state == StoreState::Ready
     }
@@ -252,6 +250,7 @@
     op_types: Vec<OpType>,
     plans: Vec<Plan>,
     mean_units: f64,
+    least_units: f64,
     shortest: Duration,
     ops: BTreeMap<OpId, Taken>,
     stores: BTreeMap<StoreId, Store>,
@@ -346,6 +345,7 @@
             started: now,
             seed,
             mean_units: number(s, "stores.mean_units")?,
+            least_units: f64::INFINITY,
             op_types,
             plans,
             shortest,
@@ -544,6 +544,7 @@
             return;
         };
         self.taken.push_back(self.now);
+        self.least_units = self.least_units.min(op.units);
         // What a client has waited through earlier tries shows against the longest left on any of its type.
         op_type.longest_left = op_type.longest_left.max(op.left);
         let waited = op_type.longest_left.saturating_sub(op.left);
@@ -610,7 +611,7 @@
                 return u64::MAX;
             }
             let held: usize = store.volumes.values().map(|share| share.held.len()).sum();
-            let load = (store.units_out() + held as f64 * self.mean_units) / store.cap;
+            let load = (store.units_out + held as f64 * self.mean_units) / store.cap;
             // With a cap out and held it has enough; if all have, the least laden takes it.
             if load < 1.0 { 0 } else { (load / QUANTUM) as u64 }
         };
@@ -749,38 +750,38 @@
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
         let part = self.op_type(taken).utility * due;
         let calm = store.latency <= store.goal() * (CALM + part);
-        part >= 1.0
-            || store.units_out() == 0.0 && calm
-            || store.units_out() + taken.op.units <= store.cap * part
+        part >= 1.0 || store.units_out == 0.0 && calm || store.units_out + taken.op.units <= store.cap * part
     }
 
     /// The next op to send to a store, if one may go now.
     fn next(&mut self, id: StoreId) -> Option<OpId> {
         let store = &self.stores[&id];
-        if !store.ready() || store.doubt.is_some_and(|trial_at| self.now < trial_at) {
+        // Where not even the least op fits there is nothing to look for.
+        let full = store.units_out > 0.0 && store.units_out + self.least_units > store.cap;
+        if full || !store.ready() || store.doubt.is_some_and(|trial_at| self.now < trial_at) {
             return None;
         }
-        let able = store.volumes.keys().filter_map(|volume| Some((*volume, self.pick(id, *volume)?)));
-        let mut able: Vec<(VolumeId, OpId)> = able.collect();
-        able.sort_by(|(a, _), (b, _)| store.volumes[a].tag.total_cmp(&store.volumes[b].tag));
         // Departure: a cap below one op spaces ops in time, or many gateways of one op each bury a store.
         let gap = store.goal() * (self.mean_units / store.cap - 1.0).max(0.0);
         let spaced = store.sent_at + Duration::from_secs_f64(gap) <= self.now;
         let fits = |op: &OpId| {
-            store.units_out() == 0.0 && spaced || store.units_out() + self.ops[op].op.units <= store.cap
+            store.units_out == 0.0 && spaced || store.units_out + self.ops[op].op.units <= store.cap
         };
-        let holder =
-            store.turn.as_ref().and_then(|turn| Some((turn, able.iter().find(|(v, _)| *v == turn.volume)?)));
-        if let Some((turn, (volume, op))) = holder {
-            if turn.count >= 1.0 && self.now < turn.ends {
-                return fits(op).then_some(*op);
+        let holder = store.turn.as_ref().and_then(|turn| Some((turn, self.pick(id, turn.volume)?)));
+        if let Some((Turn { volume, count, ends }, op)) = holder {
+            if *count >= 1.0 && self.now < *ends {
+                return fits(&op).then_some(op);
             }
             // Departure: a hung store must not freeze the rotation until a time-out.
             if store.doubt.is_none() && store.volumes[volume].out > 0 {
                 return None;
             }
         }
-        let (volume, op) = able.first().copied().filter(|(_, op)| fits(op))?;
+        let waiting = store.volumes.iter().filter(|(_, share)| !share.held.is_empty());
+        let mut waiting: Vec<_> = waiting.map(|(volume, share)| (share.tag, *volume)).collect();
+        waiting.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let mut able = waiting.iter().filter_map(|(_, volume)| Some((*volume, self.pick(id, *volume)?)));
+        let (volume, op) = able.next().filter(|(_, op)| fits(op))?;
         let store = self.stores.get_mut(&id)?;
         let quantum = store.shortest.mul_f64(QUANTUM);
         let count = quantum.as_secs_f64() / store.volumes[&volume].latency * store.cap / self.mean_units;
@@ -805,6 +806,7 @@
         self.unhold(id, to, op.volume);
         let store = self.stores.get_mut(&to).expect("a picked store is known");
         store.out.insert((id, number), (self.now, op.units));
+        store.units_out = store.out.values().map(|(_, units)| units).sum();
         store.spent.push((self.now, op.units));
         store.sent_at = self.now;
         store.last_key = op.key;
@@ -847,6 +849,7 @@
         }
         if let Some(store) = self.stores.get_mut(&place) {
             store.out.remove(&(answer.op, answer.dispatch));
+            store.units_out = store.out.values().map(|(_, units)| units).sum();
             if let Some(share) = store.volumes.get_mut(&volume) {
                 share.out = share.out.saturating_sub(1);
                 share.seen = now;
@@ -870,7 +873,7 @@
             if answer.outcome == Outcome::Acked && !self.stalled {
                 // Other gateways fill the same queue: the cap follows the latency that answers show.
                 store.latency += smoothing * (latency - store.latency);
-                let (goal, full) = (store.goal(), store.units_out() + 2.0 * mean > store.cap);
+                let (goal, full) = (store.goal(), store.units_out + 2.0 * mean > store.cap);
                 let step = if full { mean * self.plans[plan].weight } else { 0.0 };
                 if store.cap >= mean {
                     store.cap += STEP * if store.latency > goal { -store.cap } else { step };
