Keep held ops by rank too, and pass by stores that are full

At each dispatch the module looked through all held ops of a volume, with two lookups a comparison, and at each event into all stores. Each volume now also keeps its held ops by utility and order, so that the first that may go is the one; a store counts what it holds, and one that is full is passed by.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,8 +5,7 @@
 //! There is no clock, wire or shared state here; chance comes from the seed and a counter.
 //!
 //! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count and a quantum,
-//! the next goes to the smallest tag, and a cap bounds the units out. What departs from it is marked
-//! "Departure" beside the code and explained in docs/design.md.
+//! the next goes to the smallest tag, a cap bounds the units out. Departures are explained in docs/design.md.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -113,6 +112,8 @@
 #[derive(Default)]
 struct Share {
     held: Vec<OpId>,
+    /// The same with their keys, of most utility first, then as they were taken.
+    ranked: Vec<(OpId, Option<u64>)>,
     out: usize,
     tag: f64,
     latency: f64,
@@ -140,6 +141,7 @@
     spent: Vec<(Duration, f64)>,
     out: BTreeMap<(OpId, u32), (Duration, f64)>,
     units_out: f64,
+    held: usize,
     volumes: BTreeMap<VolumeId, Share>,
     turn: Option<Turn>,
     last_key: Option<u64>,
@@ -159,9 +161,6 @@
     fn ready(&self) -> bool {
         self.listing.state == StoreState::Ready
     }
-    fn holds_any(&self) -> bool {
-        self.volumes.values().any(|share| !share.held.is_empty())
-    }
     fn goal(&self) -> f64 {
         self.shortest.as_secs_f64() * STEER
     }
@@ -584,17 +583,24 @@
         let active = store.volumes.values().filter(|share| share.active()).map(|share| share.tag);
         let floor = active.min_by(f64::total_cmp).unwrap_or(0.0);
         let newcomer = Share { tag: floor, latency: target.as_secs_f64() * SEED, ..Share::default() };
+        store.held += 1;
         let share = store.volumes.entry(volume).or_insert(newcomer);
         if !share.active() {
             share.tag = share.tag.max(floor);
         }
         share.seen = self.now;
+        let order = |id: &OpId| (-self.op_types[self.ops[id].op.op_type].utility, *id);
+        let at = share.ranked.partition_point(|(held, _)| order(held) < order(&id));
+        share.ranked.insert(at, (id, self.ops[&id].op.key));
         share.held.push(id);
     }
 
     fn unhold(&mut self, id: OpId, store: StoreId, volume: VolumeId) {
-        if let Some(share) = self.stores.get_mut(&store).and_then(|s| s.volumes.get_mut(&volume)) {
+        let Some(store) = self.stores.get_mut(&store) else { return };
+        store.held -= 1;
+        if let Some(share) = store.volumes.get_mut(&volume) {
             share.held.retain(|op| *op != id);
+            share.ranked.retain(|(op, _)| *op != id);
         }
     }
 
@@ -610,8 +616,7 @@
             if store.doubt.is_some() || self.warmth(store).is_some() {
                 return u64::MAX;
             }
-            let held: usize = store.volumes.values().map(|share| share.held.len()).sum();
-            let load = (store.units_out + held as f64 * self.mean_units) / store.cap;
+            let load = (store.units_out + store.held as f64 * self.mean_units) / store.cap;
             // With a cap out and held it has enough; if all have, the least laden takes it.
             if load < 1.0 { 0 } else { (load / QUANTUM) as u64 }
         };
@@ -706,7 +711,9 @@
     // Turns.
 
     fn pump(&mut self) {
-        let holding = self.stores.iter().filter(|(_, store)| store.holds_any());
+        // Where not even the least op fits there is nothing to look for.
+        let full = |s: &Store| s.units_out > 0.0 && s.units_out + self.least_units > s.cap;
+        let holding = self.stores.iter().filter(|(_, store)| store.held > 0 && !full(store));
         let holding: Vec<StoreId> = holding.map(|(id, _)| *id).collect();
         for id in holding {
             while let Some(op) = self.next(id) {
@@ -732,14 +739,9 @@
                 && self.leaves_room(place, taken)
                 && !self.late(taken, place)
         };
-        let able = place.volumes.get(&volume)?.held.iter().filter(|id| may_go(id));
-        let best = able.min_by(|a, b| {
-            let (a, b) = (&self.ops[a], &self.ops[b]);
-            let run = |taken: &Taken| taken.op.key.is_some() && taken.op.key == place.last_key;
-            let utility = self.op_type(b).utility.total_cmp(&self.op_type(a).utility);
-            run(b).cmp(&run(a)).then(utility).then(a.op.id.cmp(&b.op.id))
-        });
-        best.copied()
+        let able = || place.volumes.get(&volume).into_iter().flat_map(|share| &share.ranked);
+        let run = able().find(|(id, key)| key.is_some() && *key == place.last_key && may_go(id));
+        run.or_else(|| able().find(|(id, _)| may_go(id))).map(|(id, _)| *id)
     }
 
     /// Departure: under load a part of the cap stays free. An op goes only into as much of it as its utility
@@ -756,7 +758,6 @@
     /// The next op to send to a store, if one may go now.
     fn next(&mut self, id: StoreId) -> Option<OpId> {
         let store = &self.stores[&id];
-        // Where not even the least op fits there is nothing to look for.
         let full = store.units_out > 0.0 && store.units_out + self.least_units > store.cap;
         if full || !store.ready() || store.doubt.is_some_and(|trial_at| self.now < trial_at) {
             return None;
@@ -938,7 +939,7 @@
         let over: Vec<OpId> = self.ops.iter().filter(|(_, t)| due(t)).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|id| self.settle(id));
         // A store that is gone is dropped once nothing of it counts, not even against its next start.
-        let of_use = |s: &Store| s.holds_any() || !s.out.is_empty() || !s.spent.is_empty();
+        let of_use = |s: &Store| s.held > 0 || !s.out.is_empty() || !s.spent.is_empty();
         self.stores.retain(|_, store| store.listing.state != StoreState::Gone || of_use(store));
         let ids: Vec<StoreId> = self.stores.keys().copied().collect();
         ids.into_iter().for_each(|id| self.sweep_store(id));
