Turn away at once what there is no room for, and keep room by volume

At the bound on bytes all sessions waited, unanswered, for whoever held the room: twelve clients that read nothing stalled every volume.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -113,7 +113,7 @@
     let shared = Arc::new(session::Shared {
         present: present.clone(),
         removed,
-        budget: budget::Budget::new(&settings.bounds),
+        budget: budget::Budget::new(&settings.bounds, settings.max_retry_after, clock),
         settings: settings.clone(),
         clock,
         to_hub,
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -17,7 +17,7 @@
 use umbertray_nbd::{BlockSizes, Export, Exports, Limits, Session, Step};
 use umbertray_routing::{Hold, Input, Request, RequestId, SessionId, Settings};
 
-use crate::budget::{Budget, Part};
+use crate::budget::{Budget, Granted, Part};
 use crate::clock::Clock;
 use crate::hub::{ReplyPart, ToHub};
 use crate::link::consume;
@@ -77,7 +77,7 @@
     }
 }
 
-type Granting = Pin<Box<dyn Future<Output = Option<Hold>> + Send>>;
+type Granting = Pin<Box<dyn Future<Output = Option<Granted>> + Send>>;
 
 /// What may be read next.
 enum Door {
@@ -118,7 +118,7 @@
         stream,
         session: Session::new(Limits::default()),
         replies: Replies::default(),
-        part: shared.budget.part(),
+        part: shared.budget.part(id.0),
         door: Door::Open,
         volume: None,
         input: BytesMut::new(),
@@ -187,7 +187,7 @@
                     parts.drain(..).for_each(|part| self.part(part));
                 }
                 granted = granted(&mut self.door) => {
-                    self.door = granted.map_or(Door::Shut, Door::Granted);
+                    self.granted(granted);
                 }
                 changed = stopping.changed(), if !stopped => {
                     stopped = changed.is_err() || *stopping.borrow();
@@ -243,7 +243,9 @@
                     tracing::info!(session = self.id.0, export = export.name, "session attached");
                 }
                 Step::Pending { bytes } => {
-                    self.door = Door::Waiting(Box::pin(self.part.clone().grant(bytes)));
+                    let (part, present) = (self.part.clone(), self.shared.present.load_full());
+                    let Some(volume) = self.volume else { continue };
+                    self.door = Door::Waiting(Box::pin(part.grant(volume, present, bytes)));
                 }
                 Step::Request(request) => self.request(request),
                 Step::Refused { errno, why, .. } => {
@@ -259,6 +261,23 @@
         Ok(())
     }
 
+    fn granted(&mut self, granted: Option<Granted>) {
+        match granted {
+            Some(Granted::Held(hold)) => self.door = Door::Granted(hold),
+            Some(Granted::Away(retry_after)) => {
+                let ms = retry_after.as_millis().max(1);
+                let text = format!("throttled retry_after_ms={ms}");
+                if self.session.turn_away(umbertray_nbd::Errno::NoMem, text) {
+                    self.next_begins();
+                } else {
+                    // A goodbye, or a broken client: it holds nothing but its record.
+                    self.door = Door::Granted(Arc::new(()));
+                }
+            }
+            None => self.door = Door::Shut,
+        }
+    }
+
     /// What follows a whole request in the input came with the last read.
     fn next_begins(&mut self) {
         self.begun = self.read_at;
@@ -330,7 +349,7 @@
 }
 
 /// The grant that the door waits for; never, where it waits for none.
-async fn granted(door: &mut Door) -> Option<Hold> {
+async fn granted(door: &mut Door) -> Option<Granted> {
     match door {
         Door::Waiting(granting) => granting.await,
         _ => std::future::pending().await,
--- a/crates/nbd/src/server.rs
+++ b/crates/nbd/src/server.rs
@@ -70,6 +70,8 @@
     header: Option<RequestHeader>,
     out: BytesMut,
     shutting_down: bool,
+    /// Bytes of a payload that was turned away, yet to be dropped.
+    unwanted: usize,
 }
 
 impl Session {
@@ -90,6 +92,7 @@
             header: None,
             out,
             shutting_down: false,
+            unwanted: 0,
         }
     }
 
@@ -107,6 +110,20 @@
         self.open.len()
     }
 
+    /// Turns away the request whose header has come, instead of waiting for room: its answer goes out now, and its payload is
+    /// dropped as it comes. False where that cannot be: a goodbye has no answer, and a cookie that is open has one to come.
+    pub fn turn_away(&mut self, errno: Errno, why: String) -> bool {
+        let turned = |header: &RequestHeader| {
+            header.command != Command::Disc.number() && !self.open.contains(&header.cookie)
+        };
+        let Some(header) = self.header.take_if(|header| turned(header)) else { return false };
+        if header.command == Command::Write.number() {
+            self.unwanted = header.length as usize;
+        }
+        self.error(header.cookie, errno, why);
+        true
+    }
+
     /// From now on options and requests are answered with the shutdown errors.
     pub fn shut_down(&mut self) {
         self.shutting_down = true;
@@ -310,6 +327,9 @@
 
     fn request(&mut self, input: &mut BytesMut) -> Result<Step, Fault> {
         let State::Transmission(export) = &self.state else { return Ok(Step::More) };
+        let dropped = self.unwanted.min(input.len());
+        input.advance(dropped);
+        self.unwanted -= dropped;
         if self.header.is_none() {
             let Some(head) = input.first_chunk::<REQUEST_HEADER>() else { return Ok(Step::More) };
             let header = request_header(head);
--- a/crates/nbd/tests/session.rs
+++ b/crates/nbd/tests/session.rs
@@ -281,3 +281,47 @@
         .tests(500)
         .quickcheck(survives as fn(Vec<u8>, bool) -> bool);
 }
+
+/// A request that there is no room for is answered at once, its payload dropped in whatever pieces it comes; what follows it
+/// is understood. A goodbye is never turned away.
+#[test]
+fn a_request_turned_away_is_answered_and_its_payload_dropped() {
+    for piece in [1, 7, 64, 8192] {
+        let mut session = Session::new(Limits::default());
+        let mut opening = flags();
+        option(&mut opening, OPT_GO, &go("vol"));
+        assert!(feed(&mut session, &opening, 64).1.is_ok());
+        let mut input = BytesMut::new();
+        let request = |cookie, command, payload: Bytes| {
+            let length = if command == Command::Disc { 0 } else { 4096 };
+            Request { cookie, command, flags: 0, offset: 0, length, payload }
+        };
+        put_request(&mut input, &request(1, Command::Write, Bytes::from(vec![9; 4096])));
+        put_request(&mut input, &request(2, Command::Read, Bytes::new()));
+        put_request(&mut input, &request(3, Command::Disc, Bytes::new()));
+        let (mut buffer, mut away, mut taken) = (BytesMut::new(), Vec::new(), Vec::new());
+        for part in input.chunks(piece) {
+            buffer.put_slice(part);
+            loop {
+                match session.receive(&mut buffer, &One).expect("a good client") {
+                    Step::More => break,
+                    Step::Pending { bytes } => {
+                        away.push((bytes, session.turn_away(Errno::NoMem, "full".into())))
+                    }
+                    step => taken.push(step),
+                }
+            }
+            assert!(buffer.len() < 64, "nothing is kept of what was turned away");
+        }
+        assert_eq!(away, [(4096, true), (4096, true), (0, false)]);
+        assert_eq!(taken, [Step::Goodbye]);
+        let out = session.output().split().freeze();
+        let cookies: Vec<u64> = out
+            .windows(4)
+            .enumerate()
+            .filter(|(_, word)| *word == SIMPLE_REPLY_MAGIC.to_be_bytes())
+            .map(|(at, _)| u64::from_be_bytes(*out[at + 8..].first_chunk().expect("a whole reply")))
+            .collect();
+        assert_eq!(cookies, [1, 2]);
+    }
+}
