--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -266,7 +266,7 @@
             Some(Granted::Held(hold)) => self.door = Door::Granted(hold),
             Some(Granted::Away(retry_after)) => {
                 let ms = retry_after.as_millis().max(1);
-                let text = format!("throttled retry_after_ms={ms}");
+                let text = format!("throttled retry_after_ms={ms} no_room");
                 if self.session.turn_away(umbertray_nbd::Errno::NoMem, text) {
                     self.next_begins();
                 } else {
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -74,6 +74,12 @@
     Returned {
         gateway: usize,
     },
+    /// A plan's limit is another from now on; gateways that follow the log act on it a little later.
+    Limit {
+        plan: String,
+        rate: f64,
+        burst: f64,
+    },
     /// The list answers later by so much, microseconds.
     ListDelay {
         delay: u64,
--- a/crates/versions/src/version.rs
+++ b/crates/versions/src/version.rs
@@ -95,6 +95,10 @@
         self.plans.get(place).filter(|plan| !plan.gone)
     }
 
+    pub fn plan_named(&self, name: &str) -> Option<&Plan> {
+        self.plan(*self.plan_places.get(name)?)
+    }
+
     pub fn volume(&self, place: usize) -> Option<&Volume> {
         self.volumes.get(place).filter(|volume| !volume.gone)
     }
