Refuse a bound on requests that the open half of the room could not hold

Since half of the room is kept by volume, a request of more than the other half might never be held while many volumes are active. Such bounds are refused with their place; a request of just half is held (test).

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -185,6 +185,16 @@
         assert!(fill(&mut room, ms(3), 7, plain(1.0)) >= 80);
     }
 
+    #[test]
+    fn half_of_the_room_can_be_one_request() {
+        let mut room = room();
+        for other in 1..9 {
+            assert_eq!(room.ask(ms(0), other, plain(1.0), 1, 0.5), Answer::Held);
+            room.give_back(ms(0), other, 1);
+        }
+        assert_eq!(room.ask(ms(1), 0, plain(1.0), MOST / 2, 0.5), Answer::Held);
+    }
+
     #[test]
     fn what_is_reserved_has_room_before_what_weighs_more() {
         let mut room = room();
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -242,6 +242,11 @@
             "request_bytes {one}, bytes_a_session {session} and bytes {all} must not fall in this order"
         ));
     }
+    // Half of the room is kept by volume, in parts that may be small: a request beyond the other half might never be held.
+    if bounds.request_bytes as usize > bounds.bytes / 2 {
+        let (one, all) = (bounds.request_bytes, bounds.bytes);
+        args.problem(format!("request_bytes {one} is over half of bytes {all}"));
+    }
     args.end();
     bounds
 }
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -71,6 +71,11 @@
             "bounds(bytes = 65536, bytes_a_session = 131072)\nrules(",
             "s.star:12:1: bounds: request_bytes",
         ),
+        (
+            "rules(",
+            "bounds(bytes = 131072, bytes_a_session = 131072, request_bytes = 131072)\nrules(",
+            "s.star:12:1: bounds: request_bytes 131072 is over half of bytes 131072",
+        ),
         ("rules(", "rules()\nrules(", "s.star:13:1: rules: is called twice"),
         ("rules(", "day(length = 1)\nrules(", "s.star:12:1: day: does not belong in settings"),
     ] {
