--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::{Args, Subcommand, ValueEnum};
-use serde_json::{Value, json};
+use serde_json::json;
 use umbertray_state::Disk;
 use umbertray_versions::change::{Change, Refused};
 use umbertray_versions::guard::GUARDS;
@@ -326,11 +326,7 @@
         edits.extend(from.configuration.diff(&wanted));
     }
     for text in &what.set {
-        let (place, value) = text.split_once('=').ok_or_else(|| wrong(text, "no = in it".into()))?;
-        let place: Path = place.parse().map_err(|error| wrong(text, format!("{error}")))?;
-        let field = place.field.ok_or_else(|| wrong(text, "it names no field".into()))?;
-        let value = serde_json::from_str(value).unwrap_or_else(|_| Value::String(value.into()));
-        edits.push(Edit::Set { key: place.key, field, value });
+        edits.push(Edit::set(text).map_err(|error| Failed::Wrong(error.to_string()))?);
     }
     for text in &what.put {
         let (place, fields) = text.split_once('=').ok_or_else(|| wrong(text, "no = in it".into()))?;
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -32,7 +32,7 @@
     for seed in 0..arguments.gateways {
         let mut document = document.clone();
         (document.list, document.seed) = (fleet.list.address, seed.into());
-        gateways.push(serve::start(document).await?);
+        gateways.push(serve::start(document, None).await?);
     }
     let addresses: Vec<String> =
         gateways.iter().flat_map(|gateway| &gateway.addresses).map(ToString::to_string).collect();
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -19,20 +19,38 @@
 }
 
 pub fn document(file: &Path) -> Result<Document, String> {
+    read(file, |_| Ok(None)).map(|(document, _)| document)
+}
+
+/// What a gateway acted on last, and which.
+type Acted = Option<(u64, [u8; 32])>;
+
+/// Reads a script, and the log of changes that it names, if any, from what `acted` finds in the gateway's state folder on.
+fn read(
+    file: &Path,
+    acted: impl Fn(&Path) -> Result<Acted, String>,
+) -> Result<(Document, Option<Changes>), String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|error| format!("{name}: {error}"))?;
-    let calls = umbertray_config::evaluate(&name, text.clone());
-    let log = calls.iter().flatten().find_map(|call| {
-        call.named.get("changes").filter(|_| call.function == "gateway")?.as_str().map(PathBuf::from)
-    });
-    let Some(log) = log else {
-        return umbertray_config::read(&name, text).map_err(|problems| said(&problems));
+    let calls = umbertray_config::evaluate(&name, text).map_err(|problem| said(&[problem]))?;
+    let named = |field: &str| {
+        let gateway = calls.iter().filter(|call| call.function == "gateway");
+        let mut values = gateway.filter_map(|call| call.named.get(field)?.as_str());
+        values.find(|folder| !folder.is_empty()).map(PathBuf::from)
     };
-    let own = umbertray_config::read_own(&name, text).map_err(|problems| said(&problems))?;
-    let follower = Follower::open(&Disk::look(&log), None);
-    let follower = follower.map_err(|error| format!("{}: {error}", log.display()))?;
+    let Some(folder) = named("changes") else {
+        let document = umbertray_config::whole(&name, &calls).map_err(|problems| said(&problems))?;
+        return Ok((document, None));
+    };
+    umbertray_config::own(&calls).map_err(|problems| said(&problems))?;
+    let state = named("state");
+    let last = state.as_deref().map(acted).transpose()?.flatten();
+    let follower = Follower::open(&Disk::look(&folder), last);
+    let follower = follower.map_err(|error| format!("{}: {error}", folder.display()))?;
     let shared = follower.version.configuration.calls();
-    umbertray_versions::version::document(&shared, &own).map_err(|problems| problems.join("\n"))
+    let document = umbertray_versions::version::document(&shared, &calls);
+    let document = document.map_err(|problems| problems.join("\n"))?;
+    Ok((document, Some(Changes { folder, follower, acted: state })))
 }
 
 fn said(problems: &[umbertray_config::Problem]) -> String {
@@ -45,26 +63,19 @@
 }
 
 /// Starts the gateway that a document describes; where it follows a log of changes, that has the shared settings.
-pub async fn start(document: Document) -> Result<umbertray_gateway::Running, String> {
-    let Document { listen, list, seed, state, changes, settings } = document;
-    let state = state.map(PathBuf::from);
-    let changes = changes.map(|folder| follow(folder.into(), state.clone())).transpose()?;
+pub async fn start(
+    document: Document,
+    changes: Option<Changes>,
+) -> Result<umbertray_gateway::Running, String> {
+    let Document { listen, list, seed, state, settings, .. } = document;
     let settings = match &changes {
         Some(changes) => changes.follower.version.settings(&settings),
         None => settings,
     };
-    let options = umbertray_gateway::Options { listen, list, seed, state, changes };
+    let options = umbertray_gateway::Options { listen, list, seed, state: state.map(Into::into), changes };
     umbertray_gateway::start(Arc::new(settings), options).await.map_err(|error| format!("listen: {error}"))
 }
 
-fn follow(folder: PathBuf, state: Option<PathBuf>) -> Result<Changes, String> {
-    let acted = state.as_deref().map(umbertray_gateway::acted).transpose();
-    let acted = acted.map_err(|error| format!("the version acted on: {error}"))?.flatten();
-    let follower = Follower::open(&Disk::look(&folder), acted);
-    let follower = follower.map_err(|error| format!("{}: {error}", folder.display()))?;
-    Ok(Changes { folder, follower, acted: state })
-}
-
 /// Ends when the program is told to stop.
 pub async fn told_to_stop() -> Result<(), String> {
     let listen = |kind| signal(kind).map_err(|error| format!("signals: {error}"));
@@ -77,8 +88,11 @@
 }
 
 pub async fn run(arguments: Arguments) -> Result<(), String> {
-    let document = document(&arguments.config)?;
-    let mut gateway = start(document).await?;
+    let acted = |folder: &Path| {
+        umbertray_gateway::acted(folder).map_err(|error| format!("the version acted on: {error}"))
+    };
+    let (document, changes) = read(&arguments.config, acted)?;
+    let mut gateway = start(document, changes).await?;
     let addresses: Vec<String> = gateway.addresses.iter().map(ToString::to_string).collect();
     let exports: Vec<String> = gateway.exports();
     output::print_line(&serde_json::json!({ "nbd": addresses, "exports": exports }).to_string());
--- a/crates/cli/tests/sockets/changes.rs
+++ b/crates/cli/tests/sockets/changes.rs
@@ -8,7 +8,6 @@
 
 use umbertray_rehearsal::record::Deed;
 use umbertray_rehearsal::run::Gateway;
-use umbertray_rehearsal::{Day, judge, rehearse};
 use umbertray_standin::client::Connection;
 use umbertray_standin::fleet::Fleet;
 
@@ -36,19 +35,23 @@
 
 const WHO: [&str; 4] = ["--actor", "ann", "--reason", "to see"];
 
-fn apply(words: &[&str], changes: &Path) {
-    let done = config(&[&["apply"], words, &WHO].concat(), changes);
+/// Runs a command that must do what it is told.
+fn does(words: &[&str], changes: &Path) {
+    let done = config(words, changes);
     assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
 }
 
+fn apply(words: &[&str], changes: &Path) {
+    does(&[&["apply"], words, &WHO].concat(), changes);
+}
+
 /// A folder of this test's with a log of version 1 in it.
 fn begun(name: &str) -> (PathBuf, PathBuf) {
     let folder = folder(name);
     let (file, changes) = (folder.join("shared.star"), folder.join("changes"));
     std::fs::write(&file, SHARED).expect("room");
     let words = [&["import", file.to_str().expect("UTF-8")][..], &WHO].concat();
-    let done = config(&words, &changes);
-    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    does(&words, &changes);
     (folder, changes)
 }
 
@@ -269,7 +272,7 @@
     shows(&["blame", "plan/free:weight"], "2  20");
     shows(&["log", "--after", "1"], "ann: to see");
     shows(&["log", "--verify"], "all 2 versions");
-    apply_words(&with_who(&["revert", "2"]), &changes);
+    does(&with_who(&["revert", "2"]), &changes);
     shows(&["show"], "plan(\"free\", rate = 1000.0, reserve = 0.0, weight = 1.0)");
     shows(&["show", "--at", "2"], "weight = 2.0");
     shows(&["show", "--at", "2100-01-01T00:00:00Z"], "# Version 3");
@@ -295,20 +298,12 @@
     fails(&with_who(&["apply", "--set", "plan/free:weight=3"]), 5, ".log:");
 }
 
-fn apply_words(words: &[&str], changes: &Path) {
-    let done = config(words, changes);
-    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
-}
-
 /// A day on which plans, weights and limits change at the peak of a burst and while gateways are down.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_day_of_changes_breaks_no_rule() {
     let text = include_str!("../../../../days/changes.star");
-    let day = Day::read("changes.star", text.into()).unwrap_or_else(|problems| panic!("{problems:#?}"));
-    let record = rehearse(&day, 1, program(), &folder("day-of-changes")).await.expect("the day plays");
-    let verdict = judge(&day, &record);
-    assert!(verdict.kept, "again: umbertray rehearse days/changes.star --seed 1\n{verdict:#?}");
+    let (record, verdict) = played("changes.star", text, 1).await;
     let limits = record.deeds.iter().filter(|(_, deed)| matches!(deed, Deed::Limit { .. }));
     assert_eq!(limits.count(), 4, "the first, and three others");
-    assert!(verdict.service.all.acked * 2 > verdict.service.all.asked, "{:?}", verdict.service.all);
+    mostly_acked(&verdict);
 }
--- a/crates/cli/tests/sockets/common.rs
+++ b/crates/cli/tests/sockets/common.rs
@@ -9,6 +9,7 @@
 use umbertray_gateway::{Options, Running};
 use umbertray_nbd::Errno;
 use umbertray_rehearsal::load::{BLOCK, content, mark};
+use umbertray_rehearsal::{Day, Record, Verdict, judge, rehearse};
 use umbertray_standin::client::{Connection, Ended, Whole};
 use umbertray_standin::fleet::Fleet;
 use umbertray_standin::model::Power;
@@ -99,6 +100,22 @@
     ended.unwrap_or_else(|_| panic!("{what}: not within {seconds} s"))
 }
 
+/// Plays a day of `days/`, which must break no rule.
+pub async fn played(name: &str, text: &str, seed: u64) -> (Record, Verdict) {
+    let day = Day::read(name, text.into()).unwrap_or_else(|problems| panic!("{problems:#?}"));
+    let record = rehearse(&day, seed, program(), &folder(&format!("{name}-{seed}"))).await;
+    let record = record.expect("the day plays");
+    let verdict = judge(&day, &record);
+    assert!(verdict.kept, "seed {seed}, again: umbertray rehearse days/{name} --seed {seed}\n{verdict:#?}");
+    (record, verdict)
+}
+
+/// Whatever else happened, most was served.
+pub fn mostly_acked(verdict: &Verdict) {
+    let all = &verdict.service.all;
+    assert!(all.acked * 2 > all.asked, "{all:?}");
+}
+
 pub fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_umbertray"))
 }
--- a/crates/cli/tests/sockets/restarts.rs
+++ b/crates/cli/tests/sockets/restarts.rs
@@ -8,7 +8,6 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::Command;
 use umbertray_rehearsal::run::Gateway;
-use umbertray_rehearsal::{Day, judge, rehearse};
 use umbertray_routing::settings::Limit;
 use umbertray_standin::client::Connection;
 use umbertray_standin::fleet::Fleet;
@@ -158,11 +157,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gateways_that_are_down_while_all_stores_change_break_no_rule() {
     let text = include_str!("../../../../days/down.star");
-    let day = Day::read("down.star", text.into()).unwrap_or_else(|problems| panic!("{problems:#?}"));
-    let record = rehearse(&day, 1, program(), &crate::common::folder("down")).await.expect("the day plays");
-    let verdict = judge(&day, &record);
-    assert!(verdict.kept, "again: umbertray rehearse days/down.star --seed 1\n{verdict:#?}");
+    let (_, verdict) = played("down.star", text, 1).await;
     let cold = verdict.findings.iter().find(|finding| finding.rule.starts_with('4'));
     assert!(cold.is_some_and(|finding| finding.looked >= 12), "{cold:?}");
-    assert!(verdict.service.all.acked * 2 > verdict.service.all.asked, "{:?}", verdict.service.all);
+    mostly_acked(&verdict);
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -57,22 +57,23 @@
 
 /// Evaluates a script and checks what it says.
 pub fn read(file: &str, text: String) -> Result<Document, Vec<Problem>> {
-    let calls = script::evaluate(file, text).map_err(|problem| vec![problem])?;
+    whole(file, &script::evaluate(file, text).map_err(|problem| vec![problem])?)
+}
+
+/// Checks that a script's calls are settings, and what they say.
+pub fn whole(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
     let strange = calls.iter().filter(|call| !SETTINGS.contains(&call.function));
     let strange: Vec<Problem> =
         strange.map(|call| call.problem("does not belong in settings".into())).collect();
-    if strange.is_empty() { document(file, &calls) } else { Err(strange) }
+    if strange.is_empty() { document(file, calls) } else { Err(strange) }
 }
 
-/// As [`read`], for a gateway that follows a log of changes: what is shared is the log's, and not said here.
-pub fn read_own(file: &str, text: String) -> Result<Vec<Call>, Vec<Problem>> {
-    let calls = script::evaluate(file, text).map_err(|problem| vec![problem])?;
-    let own = |call: &&Call| ["gateway", "bounds"].contains(&call.function);
-    let strange = calls.iter().filter(|call| !own(call));
-    let strange: Vec<Problem> = strange
-        .map(|call| call.problem("is the log's to say, since gateway(changes = ...) names one".into()))
-        .collect();
-    if strange.is_empty() { Ok(calls) } else { Err(strange) }
+/// Checks that a script's calls are a gateway's own: what is shared is said by the log of changes that it follows.
+pub fn own(calls: &[Call]) -> Result<(), Vec<Problem>> {
+    let strange = calls.iter().filter(|call| !["gateway", "bounds"].contains(&call.function));
+    let what = "is the log's to say, since gateway(changes = ...) names one";
+    let strange: Vec<Problem> = strange.map(|call| call.problem(what.into())).collect();
+    if strange.is_empty() { Ok(()) } else { Err(strange) }
 }
 
 /// Checks the settings among a script's calls.
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -59,10 +59,7 @@
     std::fs::create_dir_all(folder)?;
     let acted = Acted { version: follower.version.number, hash: follower.hash };
     let (mut disk, fresh) = (Disk::look(folder), format!("{ACTED}.new"));
-    disk.write(&fresh, &serde_json::to_vec(&acted)?)?;
-    disk.sync(&fresh)?;
-    disk.rename(&fresh, ACTED)?;
-    disk.sync_folder()
+    disk.put(&fresh, ACTED, &serde_json::to_vec(&acted)?)
 }
 
 /// Whom the thread tells.
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -22,7 +22,7 @@
 use umbertray_store_wire::list::State;
 use umbertray_versions::guard::GUARDS;
 use umbertray_versions::log::GROWN;
-use umbertray_versions::{Change, Configuration, Edit, Log, Path as Place, Version};
+use umbertray_versions::{Change, Configuration, Edit, Log, Version};
 
 use crate::day::{Day, Kind, Trouble};
 use crate::load::{Client, Shared, Weather};
@@ -186,16 +186,6 @@
     Worse(usize, u32),
 }
 
-/// One edit as a day's script writes it.
-fn edit(text: &str) -> io::Result<Edit> {
-    let wrong = |why: String| io::Error::other(format!("{text:?}: {why}"));
-    let (place, value) = text.split_once('=').ok_or_else(|| wrong("no = in it".into()))?;
-    let place: Place = place.parse().map_err(|error| wrong(format!("{error}")))?;
-    let field = place.field.ok_or_else(|| wrong("it names no field".into()))?;
-    let value = serde_json::from_str(value).unwrap_or_else(|_| value.into());
-    Ok(Edit::Set { key: place.key, field, value })
-}
-
 impl Stage {
     async fn gateway(&self, number: usize, life: u64) -> io::Result<Gateway> {
         let mut document = self.day.document.clone();
@@ -405,7 +395,8 @@
                 return Ok(struck.into_iter().map(|number| number as u64).collect());
             }
             Kind::Change => {
-                let edits = trouble.edits.iter().map(|text| edit(text)).collect::<io::Result<_>>()?;
+                let edits = trouble.edits.iter().map(|text| Edit::set(text)).collect::<Result<_, _>>();
+                let edits = edits.map_err(io::Error::other)?;
                 tokio::task::block_in_place(|| self.change(edits))?;
             }
             Kind::Reconnect => self.weather.send_modify(|weather| {
--- a/crates/state/src/folder.rs
+++ b/crates/state/src/folder.rs
@@ -134,17 +134,13 @@
         Ok(record.len())
     }
 
-    /// A new generation beside the last: whole and synced under another name before it has its own, so that a name
-    /// of a generation never stands for half a file. The last but one goes when the new one's name is safe.
+    /// A new generation beside the last. The last but one goes when the new one's name is safe.
     fn anew(&mut self, generation: u64, entry: Entry) -> io::Result<usize> {
         let mut bytes = format::opening();
         let head = Head { generation, ..self.plan.head.clone() };
         bytes.extend(format::record(&head).ok_or(io::ErrorKind::FileTooLarge)?);
         bytes.extend(format::record(&Item::Whole(entry.clone())).ok_or(io::ErrorKind::FileTooLarge)?);
-        self.layer.write(FRESH, &bytes)?;
-        self.layer.sync(FRESH)?;
-        self.layer.rename(FRESH, &name(generation))?;
-        self.layer.sync_folder()?;
+        self.layer.put(FRESH, &name(generation), &bytes)?;
         let mut old: Vec<(u64, String)> =
             self.layer.names()?.into_iter().filter_map(|n| Some((self::generation(&n)?, n))).collect();
         old.sort_unstable();
--- a/crates/state/src/layer.rs
+++ b/crates/state/src/layer.rs
@@ -22,6 +22,15 @@
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
     fn remove(&mut self, name: &str) -> io::Result<()>;
     fn sync_folder(&mut self) -> io::Result<()>;
+
+    /// Puts a whole file in place: written and synced under another name before it has its own, so that its name never stands
+    /// for half of it; safe when this returns.
+    fn put(&mut self, fresh: &str, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.write(fresh, bytes)?;
+        self.sync(fresh)?;
+        self.rename(fresh, name)?;
+        self.sync_folder()
+    }
 }
 
 /// A folder on a real disk, locked against other processes for as long as this lives.
--- a/crates/state/src/sim.rs
+++ b/crates/state/src/sim.rs
@@ -35,7 +35,7 @@
     trouble: BTreeMap<u64, Trouble>,
     crashed: bool,
     /// What each file had in the page cache when the machine stopped.
-    at_crash: Vec<Option<Vec<u8>>>,
+    at_crash: Vec<Vec<u8>>,
 }
 
 /// Cloning shares the disk.
@@ -66,8 +66,7 @@
     pub fn seen(&self) -> SimDisk {
         let state = self.state();
         let files = state.files.iter().enumerate().map(|(n, file)| {
-            let at_crash = state.at_crash.get(n).cloned().flatten();
-            let written = at_crash.unwrap_or_else(|| file.written.clone());
+            let written = state.at_crash.get(n).unwrap_or(&file.written).clone();
             File { synced: written.clone(), written }
         });
         let seen = State { files: files.collect(), names: state.names.clone(), ..State::default() };
@@ -122,7 +121,7 @@
         match state.trouble.get(&step) {
             Some(Trouble::Crash) => {
                 state.crashed = true;
-                state.at_crash = state.files.iter().map(|file| Some(file.written.clone())).collect();
+                state.at_crash = state.files.iter().map(|file| file.written.clone()).collect();
                 Err(io::Error::other("the machine stops"))
             }
             Some(Trouble::Fail) => Err(io::ErrorKind::StorageFull.into()),
--- a/crates/versions/src/follow.rs
+++ b/crates/versions/src/follow.rs
@@ -5,8 +5,8 @@
 use umbertray_state::Layer;
 use umbertray_state::format::MOST_FILE;
 
-use crate::log::{LogError, Past, checkpoint, read_segment, replay, segments};
-use crate::segment::{Broken, Hash, Reader, name};
+use crate::log::{LogError, Segment, checkpoint, read_segment, replay, segments};
+use crate::segment::{Broken, Hash, Past, Reader, name};
 use crate::version::{Step, Version};
 
 /// Why a log is not followed. The gateway goes on with what it has.
@@ -86,8 +86,9 @@
         };
         // A segment that begins where this one ends goes on from here.
         while let Some(next) = newer(layer, self.segment)? {
-            self.reach(layer, next, &mut taken)?;
-            self.enter(layer, next)?;
+            let segment = read_segment(layer, next)?;
+            self.reach(&segment, &mut taken)?;
+            self.enter(segment)?;
             taken.extend(self.read_on(layer)?);
         }
         Ok(taken)
@@ -98,11 +99,7 @@
         let bytes = layer.read_on(&file, self.reader.read, MOST_FILE)?;
         let fed = self.reader.feed(&bytes);
         let changes = fed.map_err(|why| LogError::Broken { file, why })?;
-        self.waiting.extend(changes.into_iter().map(|(version, change, hash)| Past {
-            version,
-            hash,
-            change,
-        }));
+        self.waiting.extend(changes);
         self.take_safe()
     }
 
@@ -125,17 +122,12 @@
 
     /// A new segment is safe with all before it: what this one still has up to there is taken, or, where the segment in
     /// between is gone, the difference.
-    fn reach(
-        &mut self,
-        layer: &dyn Layer,
-        next: u64,
-        taken: &mut Vec<(Version, Vec<Step>)>,
-    ) -> Result<(), NotFollowed> {
+    fn reach(&mut self, segment: &Segment, taken: &mut Vec<(Version, Vec<Step>)>) -> Result<(), NotFollowed> {
+        let next = segment.head.version;
         taken.extend(self.take_up_to(next)?);
         if self.version.number >= next {
             return Ok(());
         }
-        let segment = read_segment(layer, next)?;
         let broken = |why| LogError::Broken { file: name(next), why };
         let there = checkpoint(&segment.head).map_err(broken)?;
         let edits = self.version.configuration.diff(&there.configuration);
@@ -148,8 +140,8 @@
         Ok(())
     }
 
-    fn enter(&mut self, layer: &dyn Layer, first: u64) -> Result<(), NotFollowed> {
-        let segment = read_segment(layer, first)?;
+    fn enter(&mut self, segment: Segment) -> Result<(), NotFollowed> {
+        let first = segment.head.version;
         // What this gateway acted on under that number must be what the log has there.
         if first == self.version.number && segment.head.hash != self.hash {
             return Err(NotFollowed::Other(first));
--- a/crates/versions/src/log.rs
+++ b/crates/versions/src/log.rs
@@ -9,6 +9,7 @@
 use crate::change::{Change, Refused, conflicts, formed};
 use crate::guard;
 use crate::model::Configuration;
+pub use crate::segment::Past;
 use crate::segment::{self, Broken, Done, Hash, Head, Item, Reader, name, version_of};
 use crate::version::{Step, Version};
 
@@ -37,14 +38,6 @@
     pub steps: Vec<Step>,
 }
 
-/// A change's place in the history.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Past {
-    pub version: u64,
-    pub hash: Hash,
-    pub change: Change,
-}
-
 pub struct Log {
     layer: Box<dyn Layer>,
     head: Version,
@@ -95,8 +88,7 @@
     if segment::whole_record_in(rest) {
         return Err(broken(Broken::Middle(reader.version + 1)));
     }
-    let changes = changes.into_iter().map(|(version, change, hash)| Past { version, hash, change });
-    Ok(Segment { head, changes: changes.collect(), rest: rest.len(), size: bytes.len(), base, reader })
+    Ok(Segment { head, changes, rest: rest.len(), size: bytes.len(), base, reader })
 }
 
 /// The version that a segment begins with.
@@ -107,6 +99,15 @@
     Version::read(head.version, &configuration).map_err(|problems| wrong(problems.join("; ")))
 }
 
+/// The last version that a segment tells of, up to one.
+fn rebuilt(segment: &Segment, last: u64) -> Result<Version, Broken> {
+    let mut version = checkpoint(&segment.head)?;
+    for past in segment.changes.iter().take_while(|past| past.version <= last) {
+        version = replay(&version, past)?.0;
+    }
+    Ok(version)
+}
+
 /// The next version as a committed change makes it.
 pub fn replay(version: &Version, past: &Past) -> Result<(Version, Vec<Step>), Broken> {
     let wrong = |problems: Vec<String>| Broken::Wrong { version: past.version, what: problems.join("; ") };
@@ -123,10 +124,7 @@
         };
         let segment = read_segment(&*layer, newest)?;
         let broken = |why| LogError::Broken { file: name(newest), why };
-        let mut version = checkpoint(&segment.head).map_err(broken)?;
-        for past in &segment.changes {
-            version = replay(&version, past).map_err(broken)?.0;
-        }
+        let version = rebuilt(&segment, u64::MAX).map_err(broken)?;
         let mut log = Log::at(layer, version, segment.reader.hash, segment.head.done, most_grown);
         segment.changes.iter().for_each(|past| log.remember(past));
         (log.since, log.size, log.base, log.torn) = (newest, segment.size, segment.base, segment.rest);
@@ -239,16 +237,13 @@
         self.layer.append(&name(self.since), &bytes)
     }
 
-    /// Begins a new segment with all that is known; whole and synced before it has its name.
+    /// Begins a new segment with all that is known.
     fn roll(&mut self) -> io::Result<()> {
         let version = self.head.number;
         let checkpoint = self.head.configuration.bytes();
         let head = Head { version, hash: self.hash, checkpoint, done: self.done.clone() };
         let bytes = segment::opening(head).ok_or(io::ErrorKind::FileTooLarge)?;
-        self.layer.write(FRESH, &bytes)?;
-        self.layer.sync(FRESH)?;
-        self.layer.rename(FRESH, &name(version))?;
-        self.layer.sync_folder()?;
+        self.layer.put(FRESH, &name(version), &bytes)?;
         (self.since, self.size, self.base) = (version, bytes.len(), bytes.len());
         self.recent.clear();
         Ok(())
@@ -297,10 +292,7 @@
     };
     let segment = read_segment(layer, *first)?;
     let broken = |why| LogError::Broken { file: name(*first), why };
-    let mut version = checkpoint(&segment.head).map_err(broken)?;
-    for past in segment.changes.iter().take_while(|past| past.version <= number) {
-        version = replay(&version, past).map_err(broken)?.0;
-    }
+    let version = rebuilt(&segment, number).map_err(broken)?;
     if version.number < number {
         return Err(broken(Broken::Missing { from: version.number + 1, to: number }));
     }
--- a/crates/versions/src/model.rs
+++ b/crates/versions/src/model.rs
@@ -131,7 +131,24 @@
     },
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?}: {why}")]
+pub struct BadEdit {
+    text: String,
+    why: String,
+}
+
 impl Edit {
+    /// One field set, as people write it: `KIND/NAME:FIELD=VALUE`, the value in JSON or a word.
+    pub fn set(text: &str) -> Result<Edit, BadEdit> {
+        let bad = |why: String| BadEdit { text: text.into(), why };
+        let (place, value) = text.split_once('=').ok_or_else(|| bad("no = in it".into()))?;
+        let place: Path = place.parse().map_err(|error: BadPath| bad(error.to_string()))?;
+        let field = place.field.ok_or_else(|| bad("it names no field".into()))?;
+        let value = serde_json::from_str(value).unwrap_or_else(|_| value.into());
+        Ok(Edit::Set { key: place.key, field, value })
+    }
+
     pub fn key(&self) -> &Key {
         match self {
             Edit::Set { key, .. } | Edit::Put { key, .. } | Edit::Remove { key } => key,
--- a/crates/versions/src/segment.rs
+++ b/crates/versions/src/segment.rs
@@ -23,6 +23,14 @@
 /// A change's id, its version, and what tells it from another of that id.
 pub type Done = (String, u64, u64);
 
+/// A change's place in the history.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Past {
+    pub version: u64,
+    pub hash: Hash,
+    pub change: Change,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Head {
     /// The version that the checkpoint is of, and its hash in the chain.
@@ -116,8 +124,8 @@
         Ok((Reader { version: head.version, hash: head.hash, safe: head.version, read }, head))
     }
 
-    /// Takes whole records off the bytes that follow what was read; each change with its version and hash.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<(u64, Change, Hash)>, Broken> {
+    /// Takes whole records off the bytes that follow what was read; the changes among them.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Past>, Broken> {
         let (mut rest, mut changes) = (bytes, Vec::new());
         while let Some(item) = next::<Item>(&mut rest) {
             match item {
@@ -129,7 +137,7 @@
                     let change = serde_json::from_slice(&body)
                         .map_err(|error| Broken::Wrong { version, what: error.to_string() })?;
                     (self.version, self.hash) = (version, hash);
-                    changes.push((version, change, hash));
+                    changes.push(Past { version, hash, change });
                 }
                 Item::Safe { version } => self.safe = self.safe.max(version.min(self.version)),
                 Item::Head(_) => return Err(Broken::Chain(self.version + 1)),
--- a/crates/versions/src/version.rs
+++ b/crates/versions/src/version.rs
@@ -31,10 +31,6 @@
     reserved: f64,
 }
 
-fn text(problem: &Problem) -> String {
-    problem.what.clone()
-}
-
 impl Version {
     /// Version 0, as a checked document has it.
     pub fn first(document: &Document) -> Version {
@@ -190,7 +186,7 @@
             Kind::Plan => self.put_plan(&calls[0], &mut problems, work),
             Kind::Volume => self.put_volume(&calls[0], &mut problems, work),
         };
-        problems.iter().for_each(|problem| work.problem(key, &text(problem)));
+        problems.iter().for_each(|problem| work.problem(key, &problem.what));
         self.configuration.entities.insert(key.clone(), Arc::new(canonical));
     }
 
