--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -10,7 +10,6 @@
 };
 
 use crate::codec::{Address, Batch, Demand, Entry, Item, Load, Malformed, Record, Reply};
-use crate::names;
 
 /// The wire counts whole microseconds.
 const MICROS: f64 = 1e6;
@@ -125,7 +124,7 @@
     ) -> Result<Option<Event>, Malformed> {
         Ok(Some(match record {
             Record::OpenInstance { seed, boot_info } => {
-                let settings = names::settings(boot_info);
+                let settings = umbertray_names::of_lines(boot_info);
                 let fields = settings.get("telemetry.fields").map_or("", String::as_str);
                 self.fields = fields.split(',').filter(|name| !name.is_empty()).map(String::from).collect();
                 Event::Start { seed: *seed, settings }
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod codec;
 pub mod host;
-pub mod names;
 
 use std::io::{self, Read, Write};
 
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use umbertray_adapter::codec::{self, Item, Malformed, Record, Reply};
-use umbertray_adapter::{names, serve};
+use umbertray_adapter::serve;
 
 fn frame(records: &[Vec<u8>], count: u32, tail: &[u8]) -> Vec<u8> {
     let mut body = count.to_le_bytes().to_vec();
@@ -59,7 +59,7 @@
 
 #[test]
 fn settings_take_our_words() {
-    let settings = names::settings(
+    let settings = umbertray_names::of_lines(
         "profiles.0.promiseS=0.3\nprofiles.0.effect=single_shot\nbad line\ndiscovery=subscribe",
     );
     let pairs: Vec<_> = settings.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod measure;
 mod nbd;
+mod node;
 mod output;
 mod rehearse;
 mod serve;
@@ -38,6 +39,8 @@
 enum Command {
     /// Runs one gateway until SIGTERM or SIGINT.
     Serve(serve::Arguments),
+    /// Runs one gateway on the platform, over HTTP, until SIGTERM.
+    Node(node::Arguments),
     /// Runs gateways with stand-in stores and list on loopback; prints their addresses as one line of JSON.
     Demo(demo::Arguments),
     /// Checks settings, and changes plans, volumes, op types and rules in service, each change on record.
@@ -64,6 +67,9 @@
         eprintln!("umbertray: --log-level: {error}");
         return ExitCode::from(2);
     }
+    if let Command::Node(arguments) = arguments.command {
+        return node::run(arguments).map_or_else(failed, |()| ExitCode::SUCCESS);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -72,6 +78,7 @@
     let ended = match arguments.command {
         Command::Serve(arguments) => runtime.block_on(serve::run(arguments)),
         Command::Demo(arguments) => runtime.block_on(demo::run(arguments)),
+        Command::Node(_) => Ok(()),
         Command::Config(command) => return config::run(command),
         Command::State(command) => state::run(command),
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
--- a/crates/gateway/src/clock.rs
+++ b/crates/clock/src/lib.rs
@@ -1,3 +1,5 @@
+//! The gateway's clock.
+
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Spans since 1970, read once from the system's clock and then counted on steadily: later jumps of the
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -10,7 +10,7 @@
 use umbertray_routing::settings::Bounds;
 use umbertray_routing::{Hold, Settings};
 
-use crate::clock::Clock;
+use umbertray_clock::Clock;
 
 /// What a request costs at least, for its records; a session's bound is counted in blocks of so many bytes.
 const BLOCK: usize = 1024;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -10,9 +10,9 @@
 use umbertray_store_wire::list::ToList;
 use umbertray_store_wire::store::ToStore;
 
-use crate::clock::Clock;
 use crate::keeper::Keeper;
 use crate::{link, list};
+use umbertray_clock::Clock;
 use umbertray_state::Stamp;
 use umbertray_state::decide::{EVERY, PROMISED};
 use umbertray_state::folder::{self, Recalled};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod budget;
 mod changes;
-mod clock;
 mod hub;
 mod keeper;
 mod link;
@@ -27,7 +26,7 @@
 use umbertray_routing::{Core, Host, Settings};
 
 pub use changes::{Changes, acted};
-pub use clock::Clock;
+pub use umbertray_clock::Clock;
 
 /// Where a gateway listens and whom it asks.
 pub struct Options {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -14,8 +14,8 @@
 use umbertray_store_wire::store::{FromStore, ToStore};
 use umbertray_store_wire::{Message, next_frame};
 
-use crate::clock::Clock;
 use crate::hub::ToHub;
+use umbertray_clock::Clock;
 
 /// A link silent for so long asks for a sign of life: it finds a half-open connection, and a fresh reading of the store's
 /// clock keeps the fence in time sharp.
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -18,10 +18,10 @@
 use umbertray_routing::{Hold, Input, Request, RequestId, SessionId, Settings};
 
 use crate::budget::{Budget, Granted, Part};
-use crate::clock::Clock;
 use crate::hub::{ReplyPart, ToHub};
 use crate::link::consume;
 use crate::reply::{self, Replies};
+use umbertray_clock::Clock;
 
 /// The smallest range that a request may name, and the one that clients do best to use.
 const MINIMUM_BLOCK: u32 = 512;
--- /dev/null
+++ b/crates/http/src/head.rs
@@ -0,0 +1,92 @@
+//! Heads of both sides, by `httparse`.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::body::Framing;
+use crate::{Limits, Malformed};
+
+/// More fields than this are refused.
+pub(crate) const MOST_FIELDS: usize = 64;
+
+/// The fields of a head in the order they came.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Headers(Vec<(Box<str>, Bytes)>);
+
+/// A field that may stand once stands more often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubled;
+
+impl Headers {
+    pub(crate) fn of(fields: &[httparse::Header]) -> Headers {
+        Headers(fields.iter().map(|f| (f.name.into(), Bytes::copy_from_slice(f.value))).collect())
+    }
+
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        self.0.iter().filter(move |(own, _)| own.eq_ignore_ascii_case(name)).map(|(_, value)| &value[..])
+    }
+
+    /// The value of a field that may stand once.
+    pub fn one<'a>(&'a self, name: &'a str) -> Result<Option<&'a [u8]>, Doubled> {
+        let mut all = self.all(name);
+        let first = all.next();
+        if all.next().is_some() { Err(Doubled) } else { Ok(first) }
+    }
+
+    /// Whether a field that is a list (RFC 9110, 5.6.1) holds the word.
+    pub(crate) fn lists(&self, name: &str, word: &str) -> bool {
+        let words = self.all(name).flat_map(|value| value.split(|byte| *byte == b','));
+        words.into_iter().any(|own| own.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+    }
+
+    /// Section 6.3: how long the body is; absent: the head does not say.
+    pub(crate) fn framing(&self) -> Result<Option<Framing>, Malformed> {
+        let coded = self.all("Transfer-Encoding").next().is_some();
+        let mut lengths = self.all("Content-Length");
+        let Some(length) = lengths.next() else {
+            let chunked = self.one("Transfer-Encoding").is_ok_and(|coding| {
+                coding.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+            });
+            return match (coded, chunked) {
+                (false, _) => Ok(None),
+                (true, true) => Ok(Some(Framing::Chunked)),
+                (true, false) => Err(Malformed::Coding),
+            };
+        };
+        // Danger: whoever believes the other of the two sees another request behind this one (section 11.2).
+        if coded {
+            return Err(Malformed::LengthAndCoding);
+        }
+        let digits = length.iter().all(u8::is_ascii_digit) && lengths.next().is_none();
+        let length = std::str::from_utf8(length).ok().filter(|_| digits).and_then(|text| text.parse().ok());
+        length.map(|length| Some(Framing::Length(length))).ok_or(Malformed::Length)
+    }
+
+    /// Section 9.3: whether the connection is of use after this message.
+    pub(crate) fn persists(&self, minor: u8) -> bool {
+        minor >= 1 && !self.lists("Connection", "close")
+    }
+}
+
+/// Takes a head off the bytes once it is whole; `parse` tells its length.
+pub(crate) fn take<T>(
+    bytes: &mut BytesMut,
+    limits: Limits,
+    parse: impl FnOnce(&[u8]) -> Result<Option<(usize, T)>, httparse::Error>,
+) -> Result<Option<T>, Malformed> {
+    match parse(bytes) {
+        Ok(Some((length, _))) if length > limits.head => Err(Malformed::HeadTooLong(limits.head)),
+        Ok(Some((length, head))) => {
+            bytes.advance(length);
+            Ok(Some(head))
+        }
+        Ok(None) if bytes.len() >= limits.head => Err(Malformed::HeadTooLong(limits.head)),
+        Ok(None) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Malformed::HeadTooLong(limits.head)),
+        Err(httparse::Error::Version) => Err(Malformed::Version),
+        Err(httparse::Error::HeaderName) => Err(Malformed::Head("a field's name")),
+        Err(httparse::Error::HeaderValue) => Err(Malformed::Head("a field's value")),
+        Err(httparse::Error::NewLine) => Err(Malformed::Head("an end of line")),
+        Err(httparse::Error::Status) => Err(Malformed::Head("the status")),
+        Err(httparse::Error::Token) => Err(Malformed::Head("the first line")),
+    }
+}
--- a/crates/adapter/src/names.rs
+++ b/crates/names/src/lib.rs
@@ -1,4 +1,4 @@
-//! The wire's words for settings, and ours.
+//! The operators' words for settings, and ours: one table for every wire that tells settings.
 
 use umbertray::interface::Settings;
 
@@ -61,16 +61,18 @@
     ours
 }
 
-/// The first message's lines as settings in our words; lines without a value are skipped.
-pub fn settings(boot_info: &str) -> Settings {
-    boot_info
-        .lines()
-        .filter_map(|line| line.split_once('='))
-        .map(|(path, value)| {
-            let path = path.split('.').map(step).collect::<Vec<_>>().join(".");
-            let known = path.ends_with(".repeats") || path == "discovery";
-            let renamed = VALUES.iter().find(|(wire, _)| known && *wire == value);
-            (path, renamed.map_or(value, |(_, ours)| ours).to_string())
-        })
-        .collect()
+/// Settings told as paths of steps joined by dots, with their values, in our words.
+pub fn settings<'a>(told: impl IntoIterator<Item = (&'a str, &'a str)>) -> Settings {
+    let ours = |(path, value): (&str, &str)| {
+        let path = path.split('.').map(step).collect::<Vec<_>>().join(".");
+        let known = path.ends_with(".repeats") || path == "discovery";
+        let renamed = VALUES.iter().find(|(wire, _)| known && *wire == value);
+        (path, renamed.map_or(value, |(_, ours)| ours).to_string())
+    };
+    told.into_iter().map(ours).collect()
+}
+
+/// Settings as lines of a path and a value; lines without a value are skipped.
+pub fn of_lines(lines: &str) -> Settings {
+    settings(lines.lines().filter_map(|line| line.split_once('=')))
 }
--- /dev/null
+++ b/crates/node/src/bounds.rs
@@ -0,0 +1,73 @@
+//! What guards the program itself, in one place: ratios to the configuration.
+
+use std::time::Duration;
+
+use umbertray_http::Limits;
+use umbertray_platform::{Config, words};
+
+/// Parts of the descriptors for clients and for stores; the rest is for the listener, discovery and the system.
+const CLIENTS: f64 = 0.6;
+const STORES: f64 = 0.3;
+/// The part of all store connections that one store may have.
+const ONE_STORE: f64 = 0.5;
+/// A head against the largest body.
+const HEAD: f64 = 0.125;
+/// What is read ahead of a request that waits for its answer, against the largest body.
+const AHEAD: f64 = 0.25;
+/// Against the longest op timeout: the time for the first whole request of a connection, for the rest of a later one
+/// and for an answer to be taken; how long new connections are served after SIGTERM; how long what is still sent by a
+/// client that was refused is passed over.
+const SPEAK: f64 = 1.0 / 3.0;
+const LEAVING: f64 = 0.1;
+const LINGER: f64 = 1.0 / 6.0;
+/// Parts of the idle time in the settings after which connections to stores and of clients are closed.
+const STORE_IDLE: f64 = 0.5;
+const CLIENT_IDLE: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub http: Limits,
+    pub ahead: usize,
+    pub clients: usize,
+    pub stores: usize,
+    pub one_store: usize,
+    pub connect: Duration,
+    pub store_idle: Duration,
+    pub client_idle: Duration,
+    pub speak: Duration,
+    pub leaving: Duration,
+    pub linger: Duration,
+    /// The longest time that a client waits for an answer.
+    pub longest: Duration,
+}
+
+impl Bounds {
+    pub fn of(config: &Config) -> Result<Bounds, String> {
+        let settings = &config.settings;
+        let span = |name: &str| {
+            let seconds = settings.get(name).and_then(|text| text.parse::<f64>().ok());
+            let span = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+            span.ok_or_else(|| format!("settings: {name} is missing or unreadable"))
+        };
+        let part = |of: usize, part: f64| ((of as f64 * part) as usize).max(1);
+        let timeouts = settings.keys().filter(|name| name.ends_with(".op_timeout"));
+        let timeouts = timeouts.map(|name| span(name)).collect::<Result<Vec<_>, _>>()?;
+        let longest = timeouts.into_iter().max().ok_or("settings: op_types.count is missing")?;
+        let idle = span("limits.conn_idle")?;
+        let stores = part(config.limits.sockets, STORES);
+        Ok(Bounds {
+            http: Limits { head: part(words::BODY, HEAD), body: words::BODY },
+            ahead: part(words::BODY, AHEAD),
+            clients: part(config.limits.sockets, CLIENTS),
+            stores,
+            one_store: part(stores, ONE_STORE),
+            connect: span("limits.connect_timeout")?,
+            store_idle: idle.mul_f64(STORE_IDLE),
+            client_idle: idle.mul_f64(CLIENT_IDLE),
+            speak: longest.mul_f64(SPEAK),
+            leaving: longest.mul_f64(LEAVING),
+            linger: longest.mul_f64(LINGER),
+            longest,
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/client.rs
@@ -0,0 +1,290 @@
+//! Clients' connections, one task each: a request at a time, in order.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout, timeout_at};
+use umbertray_http::Malformed;
+use umbertray_http::server::{self, Next, Request, Requests};
+use umbertray_platform::{Refused, Reply, words};
+
+use crate::hub::{Hub, Phase};
+
+/// What a connection is at; the smaller, the sooner it is closed where room is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// No whole request has come yet.
+    Unheard(Instant),
+    Idle(Instant),
+    Busy,
+}
+
+struct Guest {
+    standing: Standing,
+    task: Option<AbortHandle>,
+}
+
+/// The connections that are open.
+#[derive(Default)]
+pub struct Guests {
+    open: RefCell<BTreeMap<u64, Guest>>,
+    gone: Notify,
+}
+
+impl Guests {
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    pub async fn empty(&self) {
+        while self.len() > 0 {
+            self.gone.notified().await;
+        }
+    }
+
+    fn at(&self, id: u64, standing: Standing) {
+        if let Some(guest) = self.open.borrow_mut().get_mut(&id) {
+            guest.standing = standing;
+        }
+    }
+
+    /// Ends the connection that is missed least; false where all are at work.
+    fn make_room(&self) -> bool {
+        let mut open = self.open.borrow_mut();
+        let least = open.iter().filter(|(_, guest)| guest.standing != Standing::Busy);
+        let Some(id) = least.min_by_key(|(_, guest)| guest.standing).map(|(id, _)| *id) else { return false };
+        if let Some(Guest { task: Some(task), .. }) = open.remove(&id) {
+            task.abort();
+        }
+        true
+    }
+}
+
+/// Takes new connections until the gateway closes.
+pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    let mut phases = hub.phases();
+    for id in 0.. {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phases.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            // Out of descriptors, most likely: trying at once would spin.
+            Err(error) => {
+                tracing::warn!(%error, "no client accepted");
+                hub.guests.make_room();
+                sleep(hub.bounds.connect).await;
+                continue;
+            }
+        };
+        if hub.guests.len() >= hub.bounds.clients && !hub.guests.make_room() {
+            continue;
+        }
+        _ = stream.set_nodelay(true);
+        let standing = Standing::Unheard(Instant::now());
+        hub.guests.open.borrow_mut().insert(id, Guest { standing, task: None });
+        let (own, client) = (hub.clone(), Client { hub: hub.clone(), id, stream, begun: Duration::ZERO });
+        let task = tokio::task::spawn_local(async move {
+            client.serve().await;
+            own.guests.open.borrow_mut().remove(&id);
+            own.guests.gone.notify_waiters();
+        });
+        if let Some(guest) = hub.guests.open.borrow_mut().get_mut(&id) {
+            guest.task = Some(task.abort_handle());
+        }
+    }
+}
+
+struct Client {
+    hub: Rc<Hub>,
+    id: u64,
+    stream: TcpStream,
+    /// When the first byte of the request that is next, or now open, was read.
+    begun: Duration,
+}
+
+impl Client {
+    async fn serve(mut self) {
+        let mut requests = Requests::new(self.hub.bounds.http);
+        let mut patience = Instant::now() + self.hub.bounds.speak;
+        loop {
+            match self.next(&mut requests, patience).await {
+                Ok(None) => return,
+                Err(refused) => return self.refuse(refused).await,
+                Ok(Some(request)) => {
+                    self.hub.guests.at(self.id, Standing::Busy);
+                    let persists = match self.answer(&mut requests, request).await {
+                        Ok(Some(persists)) => persists,
+                        Ok(None) => return,
+                        Err(refused) => return self.refuse(refused).await,
+                    };
+                    if !persists {
+                        return self.linger().await;
+                    }
+                    if requests.bytes.is_empty() {
+                        requests.bytes = BytesMut::new();
+                    }
+                    self.hub.guests.at(self.id, Standing::Idle(Instant::now()));
+                    patience = Instant::now() + self.hub.bounds.client_idle;
+                }
+            }
+        }
+    }
+
+    /// The next request; nothing, if the client has gone or said nothing for too long.
+    async fn next(&mut self, requests: &mut Requests, patience: Instant) -> Result<Option<Request>, Refused> {
+        let mut phases = self.hub.phases();
+        let mut part: Option<Instant> = None;
+        loop {
+            match requests.request().map_err(|error| refused(&error))? {
+                Next::Request(request) => return Ok(Some(request)),
+                Next::Continue => self.write(Bytes::from_static(server::CONTINUE)).await.unwrap_or_default(),
+                Next::More => {}
+            }
+            let begun = requests.begun();
+            if begun && part.is_none() {
+                part = Some(patience.min(Instant::now() + self.hub.bounds.speak));
+            }
+            let closing = async {
+                match begun {
+                    true => pending().await,
+                    false => _ = phases.wait_for(|phase| *phase == Phase::Closing).await,
+                }
+            };
+            let read = self.read(requests);
+            let read = tokio::select! {
+                read = timeout_at(part.unwrap_or(patience).into(), read) => read,
+                () = closing => return Ok(None),
+            };
+            match read {
+                Ok(Some(())) => {}
+                Ok(None) => return Ok(None),
+                Err(_) if begun => {
+                    return Err(Refused {
+                        status: 408,
+                        what: "the request did not come whole in its time".into(),
+                    });
+                }
+                Err(_) => return Ok(None),
+            }
+        }
+    }
+
+    /// Reads what there is; nothing once the client has gone.
+    async fn read(&mut self, requests: &mut Requests) -> Option<()> {
+        let fresh = !requests.begun();
+        requests.bytes.reserve(self.hub.bounds.http.head / 2);
+        let read = self.stream.read_buf(&mut requests.bytes).await;
+        if fresh {
+            self.begun = self.hub.clock.now();
+        }
+        matches!(read, Ok(1..)).then_some(())
+    }
+
+    /// Answers one request and tells whether the connection is of further use; nothing, if the client has gone.
+    async fn answer(&mut self, requests: &mut Requests, request: Request) -> Result<Option<bool>, Refused> {
+        let persists = request.persists;
+        if let Some(status) = self.health(&request) {
+            return Ok(self
+                .write(self.closing(persists, |close| server::answer(status, &[], b"", close)))
+                .await
+                .map(|()| self.stays(persists)));
+        }
+        let ask = self.hub.check(&request)?;
+        let (client, mut answered) = self.hub.ask(ask, self.begun);
+        let reply = tokio::select! {
+            reply = &mut answered => reply,
+            () = self.gone(requests) => {
+                self.hub.left(client);
+                return Ok(None);
+            }
+        };
+        let Ok(reply) = reply else { return Ok(None) };
+        let bytes = self.closing(persists, |close| rendered(&reply, close));
+        Ok(self.write(bytes).await.map(|()| self.stays(persists)))
+    }
+
+    fn stays(&self, persists: bool) -> bool {
+        persists && self.hub.phase() == Phase::Serving
+    }
+
+    fn closing(&self, persists: bool, answer: impl FnOnce(bool) -> Bytes) -> Bytes {
+        answer(!self.stays(persists))
+    }
+
+    fn health(&self, request: &Request) -> Option<u16> {
+        match (&*request.method, &*request.target) {
+            ("GET", words::READY) => Some(if self.hub.ready() { 200 } else { 503 }),
+            ("GET", words::LIVE) => Some(200),
+            _ => None,
+        }
+    }
+
+    /// Returns when the client has gone. What it sends meanwhile is read ahead up to a bound; beyond that only the end
+    /// of its connection is looked for, which shows although there is more to be read.
+    async fn gone(&mut self, requests: &mut Requests) {
+        loop {
+            if requests.bytes.len() < self.hub.bounds.ahead {
+                if self.read(requests).await.is_none() {
+                    return;
+                }
+                continue;
+            }
+            match self.stream.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => sleep(self.hub.bounds.connect).await,
+                _ => return,
+            }
+        }
+    }
+
+    async fn write(&mut self, bytes: Bytes) -> Option<()> {
+        timeout(self.hub.bounds.speak, self.stream.write_all(&bytes)).await.ok()?.ok()
+    }
+
+    async fn refuse(&mut self, Refused { status, what }: Refused) {
+        tracing::debug!(status, what, "request refused");
+        let body = format!("{what}\n");
+        let kind: (&str, &[u8]) = ("Content-Type", b"text/plain");
+        if self.write(server::answer(status, &[kind], body.as_bytes(), true)).await.is_some() {
+            self.linger().await;
+        }
+    }
+
+    /// Closes so that the client can read what was written: bytes of its that were not read would take that from it.
+    async fn linger(&mut self) {
+        self.hub.guests.at(self.id, Standing::Unheard(Instant::now()));
+        let mut passed_over = [0; 4096];
+        let drain = async {
+            _ = self.stream.shutdown().await;
+            while matches!(self.stream.read(&mut passed_over).await, Ok(1..)) {}
+        };
+        _ = timeout(self.hub.bounds.linger, drain).await;
+    }
+}
+
+fn refused(error: &Malformed) -> Refused {
+    Refused { status: error.status(), what: error.to_string() }
+}
+
+fn rendered(reply: &Reply, close: bool) -> Bytes {
+    match reply {
+        Reply::Acked { kind, body } => {
+            let kind = kind.as_ref().map(|kind| ("Content-Type", &kind[..]));
+            server::answer(200, kind.as_slice(), body, close)
+        }
+        Reply::Throttled { retry_after } => {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            server::answer(503, &[(words::RETRY_AFTER, seconds.as_bytes())], b"", close)
+        }
+        Reply::Aborted => server::answer(500, &[], b"", close),
+    }
+}
--- /dev/null
+++ b/crates/node/src/hub.rs
@@ -0,0 +1,185 @@
+//! The core's turns: all that came at one moment goes in together, what comes back is done.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::{AbortHandle, yield_now};
+use tokio::time::sleep_until;
+use umbertray_clock::Clock;
+use umbertray_http::server::Request;
+use umbertray_platform::{Ask, Call, ClientId, Core, Deed, Input, Refused, Reply, Returned};
+
+use crate::bounds::Bounds;
+use crate::client::Guests;
+use crate::store::{self, Pools};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    Serving,
+    /// New connections are served; every answer closes its connection.
+    Leaving,
+    /// Nothing new: connections without an open request end.
+    Closing,
+}
+
+/// A dispatch at work.
+struct Work {
+    task: AbortHandle,
+    written: Rc<Cell<bool>>,
+}
+
+pub struct Hub {
+    core: RefCell<Core>,
+    inputs: RefCell<Vec<Input>>,
+    news: Notify,
+    answers: RefCell<HashMap<ClientId, oneshot::Sender<Reply>>>,
+    work: RefCell<HashMap<Call, Work>>,
+    next_client: Cell<u64>,
+    phase: watch::Sender<Phase>,
+    pub clock: Clock,
+    pub bounds: Bounds,
+    pub pools: Pools,
+    pub guests: Guests,
+    /// The module asks to be told of changes, or for the whole list.
+    pub subscribe: Notify,
+    pub fetch: Notify,
+}
+
+impl Hub {
+    pub fn new(core: Core, clock: Clock, bounds: Bounds) -> Hub {
+        Hub {
+            core: RefCell::new(core),
+            inputs: RefCell::default(),
+            news: Notify::new(),
+            answers: RefCell::default(),
+            work: RefCell::default(),
+            next_client: Cell::new(0),
+            phase: watch::channel(Phase::Serving).0,
+            clock,
+            bounds,
+            pools: Pools::new(bounds),
+            guests: Guests::default(),
+            subscribe: Notify::new(),
+            fetch: Notify::new(),
+        }
+    }
+
+    /// Has the core told at its next turn, together with all else of this moment.
+    pub fn post(&self, input: Input) {
+        self.inputs.borrow_mut().push(input);
+        self.news.notify_one();
+    }
+
+    pub fn check(&self, request: &Request) -> Result<Ask, Refused> {
+        self.core.borrow().check(request)
+    }
+
+    /// Hands over an op; its final answer comes through the channel.
+    pub fn ask(&self, ask: Ask, begun: Duration) -> (ClientId, oneshot::Receiver<Reply>) {
+        let client = ClientId(self.next_client.replace(self.next_client.get() + 1));
+        let (answer, answered) = oneshot::channel();
+        self.answers.borrow_mut().insert(client, answer);
+        self.post(Input::Ask { client, ask, begun });
+        (client, answered)
+    }
+
+    pub fn left(&self, client: ClientId) {
+        self.answers.borrow_mut().remove(&client);
+        self.post(Input::Left(client));
+    }
+
+    pub fn begin(&self, call: Call) -> Option<Bytes> {
+        self.core.borrow().begin(call, self.clock.now())
+    }
+
+    pub fn open(&self) -> usize {
+        self.core.borrow().open()
+    }
+
+    pub fn ready(&self) -> bool {
+        self.core.borrow().ready() && self.phase() == Phase::Serving
+    }
+
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    fn turn(self: &Rc<Hub>) -> Result<(), String> {
+        let inputs = self.inputs.take();
+        let deeds = self.core.borrow_mut().handle(self.clock.now(), inputs);
+        deeds.into_iter().try_for_each(|deed| self.perform(deed))
+    }
+
+    fn perform(self: &Rc<Hub>, deed: Deed) -> Result<(), String> {
+        match deed {
+            Deed::Answer { client, reply } => {
+                if let Some(answer) = self.answers.borrow_mut().remove(&client) {
+                    // A client that left meanwhile has told so itself.
+                    _ = answer.send(reply);
+                }
+            }
+            Deed::Send { call, store, address, until } => {
+                let written = Rc::new(Cell::new(false));
+                let (hub, done) = (self.clone(), written.clone());
+                let task = tokio::task::spawn_local(async move {
+                    let (returned, at) = store::call(&hub, call, store, address, until, &done).await;
+                    hub.work.borrow_mut().remove(&call);
+                    hub.post(Input::Returned { call, returned, at });
+                });
+                self.work.borrow_mut().insert(call, Work { task: task.abort_handle(), written });
+            }
+            Deed::Cancel { call } => {
+                if let Some(Work { task, written }) = self.work.borrow_mut().remove(&call) {
+                    task.abort();
+                    let returned = if written.get() { Returned::Cancelled } else { Returned::NeverWritten };
+                    self.post(Input::Returned { call, returned, at: self.clock.now() });
+                }
+            }
+            Deed::Probe { store, address } => {
+                let hub = self.clone();
+                tokio::task::spawn_local(async move {
+                    let returned = store::probe(&hub, store, address).await;
+                    hub.post(Input::Probed { store, returned });
+                });
+            }
+            Deed::Drop { store } => self.pools.forget(store),
+            Deed::Subscribe => self.subscribe.notify_one(),
+            Deed::FetchList => self.fetch.notify_one(),
+            Deed::Log(text) => tracing::info!(text, "said"),
+            Deed::Fatal(text) => return Err(text),
+        }
+        Ok(())
+    }
+}
+
+/// Turns the core until it cannot go on.
+pub async fn run(hub: Rc<Hub>) -> Result<(), String> {
+    loop {
+        hub.turn()?;
+        let wake = hub.core.borrow().wake();
+        let woken = async {
+            match wake {
+                Some(at) => sleep_until(hub.clock.instant(at).into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = hub.news.notified() => {}
+            () = woken => {}
+        }
+        // What else can be read by now belongs to the same moment.
+        yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/store.rs
@@ -0,0 +1,238 @@
+//! Connections to stores: one request at a time on each, the latest used first.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, timeout_at};
+use umbertray_http::client::{self, Answers};
+use umbertray_platform::{Call, Returned, StoreId, words};
+
+use crate::bounds::Bounds;
+use crate::hub::Hub;
+
+#[derive(Default)]
+struct Pool {
+    idle: Vec<(TcpStream, Instant)>,
+    open: usize,
+}
+
+/// All connections to stores, in use and idle.
+pub struct Pools {
+    bounds: Bounds,
+    pools: RefCell<HashMap<StoreId, Pool>>,
+    open: Cell<usize>,
+    /// A connection came free, or room for one.
+    room: Notify,
+}
+
+/// A connection that is in use; dropped, it is closed and its room free.
+struct Link<'a> {
+    pools: &'a Pools,
+    store: StoreId,
+    stream: Option<TcpStream>,
+}
+
+impl Drop for Link<'_> {
+    fn drop(&mut self) {
+        self.pools.closed(self.store, 1);
+    }
+}
+
+impl Pools {
+    pub fn new(bounds: Bounds) -> Pools {
+        Pools { bounds, pools: RefCell::default(), open: Cell::new(0), room: Notify::new() }
+    }
+
+    fn closed(&self, store: StoreId, connections: usize) {
+        if connections == 0 {
+            return;
+        }
+        let mut pools = self.pools.borrow_mut();
+        if let Some(pool) = pools.get_mut(&store) {
+            pool.open -= connections;
+            if pool.open == 0 {
+                pools.remove(&store);
+            }
+        }
+        self.open.set(self.open.get() - connections);
+        self.room.notify_waiters();
+    }
+
+    /// The connection used last of those that stand idle. Danger: what can be read while nothing was asked is the end
+    /// of the connection or an answer to something else; either way it is of no further use.
+    fn idle(&self, store: StoreId) -> Option<Link<'_>> {
+        let mut spoilt = 0;
+        let stream = loop {
+            let popped = self.pools.borrow_mut().get_mut(&store).and_then(|pool| pool.idle.pop());
+            let Some((stream, since)) = popped else { break None };
+            if silent(&stream) && since.elapsed() < self.bounds.store_idle {
+                break Some(stream);
+            }
+            spoilt += 1;
+        };
+        self.closed(store, spoilt);
+        stream.map(|stream| Link { pools: self, store, stream: Some(stream) })
+    }
+
+    /// Room for a new connection, at the cost of one that stands idle at another store if need be.
+    fn slot(&self, store: StoreId) -> Option<Link<'_>> {
+        if self.open.get() >= self.bounds.stores {
+            let longest = {
+                let pools = self.pools.borrow();
+                let firsts = pools.iter().filter_map(|(id, pool)| Some((pool.idle.first()?.1, *id)));
+                firsts.min().map(|(_, id)| id)
+            };
+            let oldest =
+                longest.and_then(|id| self.pools.borrow_mut().get_mut(&id).map(|pool| pool.idle.remove(0)));
+            self.closed(longest?, usize::from(oldest.is_some()));
+        }
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(store).or_default();
+        if pool.open >= self.bounds.one_store {
+            return None;
+        }
+        pool.open += 1;
+        self.open.set(self.open.get() + 1);
+        Some(Link { pools: self, store, stream: None })
+    }
+
+    fn put_back(&self, mut link: Link) {
+        let Some(stream) = link.stream.take() else { return };
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&link.store) {
+            pool.idle.push((stream, Instant::now()));
+            std::mem::forget(link);
+        }
+        self.room.notify_waiters();
+    }
+
+    /// Closes what stands idle at a store.
+    pub fn forget(&self, store: StoreId) {
+        let idle = self.pools.borrow_mut().get_mut(&store).map(|pool| std::mem::take(&mut pool.idle));
+        self.closed(store, idle.map_or(0, |idle| idle.len()));
+    }
+
+    /// Closes what has stood idle for long, or has ended.
+    fn tidy(&self) {
+        let stores: Vec<StoreId> = self.pools.borrow().keys().copied().collect();
+        for store in stores {
+            let closed = self.pools.borrow_mut().get_mut(&store).map_or(0, |pool| {
+                let before = pool.idle.len();
+                let fresh = |since: &Instant| since.elapsed() < self.bounds.store_idle;
+                pool.idle.retain(|(stream, since)| fresh(since) && silent(stream));
+                before - pool.idle.len()
+            });
+            self.closed(store, closed);
+        }
+    }
+
+    /// A connection to the store: one that stands idle, or a new one.
+    async fn link(&self, store: StoreId, address: SocketAddr) -> Option<Link<'_>> {
+        loop {
+            let room = self.room.notified();
+            if let Some(link) = self.idle(store) {
+                return Some(link);
+            }
+            if let Some(mut link) = self.slot(store) {
+                let stream = timeout(self.bounds.connect, TcpStream::connect(address)).await.ok()?.ok()?;
+                _ = stream.set_nodelay(true);
+                link.stream = Some(stream);
+                return Some(link);
+            }
+            room.await;
+        }
+    }
+}
+
+/// Nothing can be read: the connection stands, and nothing was sent over it unasked.
+fn silent(stream: &TcpStream) -> bool {
+    let read = stream.try_read(&mut [0]);
+    read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// Sends one dispatch and waits for what comes back; `written` is set once its last byte is out.
+pub async fn call(
+    hub: &Rc<Hub>,
+    call: Call,
+    store: StoreId,
+    address: SocketAddr,
+    until: Duration,
+    written: &Cell<bool>,
+) -> (Returned, Duration) {
+    let due = hub.clock.instant(until).into();
+    let sent = timeout_at(due, async {
+        let mut link = hub.pools.link(store, address).await?;
+        let bytes = hub.begin(call)?;
+        write(&mut link, &bytes, written).await?;
+        Some(link)
+    });
+    let Ok(Some(link)) = sent.await else { return (Returned::NeverWritten, hub.clock.now()) };
+    match timeout_at(due, answer(hub, link)).await {
+        Ok(returned) => returned,
+        Err(_) => (Returned::TimedOut, hub.clock.now()),
+    }
+}
+
+/// Nothing, if not all was written: a store begins with the last byte.
+async fn write(link: &mut Link<'_>, bytes: &Bytes, written: &Cell<bool>) -> Option<()> {
+    link.stream.as_mut()?.write_all(bytes).await.ok()?;
+    written.set(true);
+    Some(())
+}
+
+async fn answer(hub: &Rc<Hub>, mut link: Link<'_>) -> (Returned, Duration) {
+    let mut answers = Answers::new(hub.bounds.http);
+    let Some(stream) = &mut link.stream else { return (Returned::NeverWritten, hub.clock.now()) };
+    loop {
+        answers.bytes.reserve(hub.bounds.http.head);
+        let read = stream.read_buf(&mut answers.bytes).await;
+        let at = hub.clock.now();
+        if !matches!(read, Ok(1..)) {
+            return (Returned::Broken, at);
+        }
+        match answers.answer() {
+            Ok(None) => {}
+            Ok(Some(answer)) => {
+                // Danger: what came behind the answer belongs to no request; the next would be answered with it.
+                if answer.head.persists && answers.bytes.is_empty() {
+                    hub.pools.put_back(link);
+                }
+                return (Returned::Answer(answer), at);
+            }
+            Err(error) => {
+                tracing::debug!(store = link.store.0, %error, "answer not read");
+                return (Returned::Broken, at);
+            }
+        }
+    }
+}
+
+/// Asks a store for its load.
+pub async fn probe(hub: &Rc<Hub>, store: StoreId, address: SocketAddr) -> Returned {
+    let written = Cell::new(false);
+    let asked = timeout(hub.bounds.connect, async {
+        let mut link = hub.pools.link(store, address).await?;
+        let bytes = client::request("GET", words::STATS, &address.to_string(), &[], b"");
+        write(&mut link, &bytes, &written).await?;
+        Some(answer(hub, link).await.0)
+    });
+    match asked.await {
+        Ok(Some(returned)) => returned,
+        Err(_) if written.get() => Returned::TimedOut,
+        _ => Returned::NeverWritten,
+    }
+}
+
+/// Looks after what stands idle, for as long as the gateway runs.
+pub async fn tidy(hub: Rc<Hub>) {
+    loop {
+        sleep(hub.bounds.connect).await;
+        hub.pools.tidy();
+    }
+}
--- /dev/null
+++ b/crates/platform/src/ask.rs
@@ -0,0 +1,168 @@
+//! A request read and checked: what it asks, in our words, or why it is refused.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use umbertray::interface::Settings;
+use umbertray_http::server::Request;
+
+use crate::words;
+
+/// An op as its client asked for it. What goes to a store is written anew from these parts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    pub id: Box<str>,
+    pub method: &'static str,
+    /// Path and query.
+    pub target: Box<str>,
+    pub body: Bytes,
+    pub op_type: usize,
+    pub plan: usize,
+    pub volume: u64,
+    /// 0: none.
+    pub key: u64,
+    /// How long the client waits, counted from the request's first byte.
+    pub left: Duration,
+    pub units: f64,
+    /// Absent: a new object.
+    pub shard: Option<u32>,
+    pub gateways: f64,
+}
+
+/// A request that is no op, and the status that its client gets.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("{what}")]
+pub struct Refused {
+    pub status: u16,
+    pub what: String,
+}
+
+fn refused<T>(status: u16, what: impl Into<String>) -> Result<T, Refused> {
+    Err(Refused { status, what: what.into() })
+}
+
+/// What requests may name, by the settings.
+pub struct Names {
+    op_types: Vec<(String, Duration)>,
+    plans: Vec<String>,
+    shards: Option<u32>,
+    most_units: Option<f64>,
+}
+
+impl Names {
+    pub fn of(settings: &Settings) -> Result<Names, String> {
+        let number = |name: &str| settings.get(name).and_then(|text| text.parse::<f64>().ok());
+        let count = |name: &str| number(name).map(|n| n as usize).ok_or_else(|| name.to_string());
+        let named = |name: String| settings.get(&name).cloned().ok_or(name);
+        let op_type = |i: usize| {
+            let timeout = format!("op_types.{i}.op_timeout");
+            let span = number(&timeout).and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+            Ok((named(format!("op_types.{i}.name"))?, span.ok_or(timeout)?))
+        };
+        let plan = |i: usize| named(format!("plans.{i}.name"));
+        Ok(Names {
+            op_types: (0..count("op_types.count")?).map(op_type).collect::<Result<_, String>>()?,
+            plans: (0..count("plans.count")?).map(plan).collect::<Result<_, String>>()?,
+            shards: number("stores.slots_total").map(|n| n as u32).filter(|n| *n > 0),
+            most_units: number("stores.max_units").filter(|n| *n > 0.0),
+        })
+    }
+
+    pub fn ask(&self, request: &Request) -> Result<Ask, Refused> {
+        let method = match &*request.method {
+            "PUT" => "PUT",
+            "GET" if request.body.is_empty() => "GET",
+            "GET" => return refused(400, "a GET with a body"),
+            other => return refused(405, format!("method {other}")),
+        };
+        let (op_type, volume, key) = self.path(&request.target)?;
+        let plan = text(request, words::PLAN)?;
+        let Some(plan) = self.plans.iter().position(|own| own == plan) else {
+            return refused(400, format!("{}: no plan of this name", words::PLAN));
+        };
+        let id = text(request, words::ID)?;
+        if hex(id).is_none() {
+            return refused(400, format!("{}: not {} hex digits", words::ID, words::HEX_DIGITS));
+        }
+        let left = text(request, words::TIME_LEFT)?;
+        let digits = !left.is_empty() && left.bytes().all(|byte| byte.is_ascii_digit());
+        let Some(left) = left.parse().ok().filter(|left| digits && *left > 0) else {
+            return refused(400, format!("{}: not a whole number of milliseconds", words::TIME_LEFT));
+        };
+        let (units, shard, gateways) = self.placement(text(request, words::PLACEMENT)?)?;
+        Ok(Ask {
+            id: id.into(),
+            method,
+            target: request.target.clone(),
+            body: request.body.clone(),
+            op_type,
+            plan,
+            volume,
+            key,
+            left: Duration::from_millis(left).min(self.op_types[op_type].1),
+            units,
+            shard,
+            gateways,
+        })
+    }
+
+    /// Strictly `/op-type/volume/key`, with a query or without.
+    fn path(&self, target: &str) -> Result<(usize, u64, u64), Refused> {
+        let path = target.split_once('?').map_or(target, |(path, _)| path);
+        let mut steps = path.split('/');
+        let steps = [steps.next(), steps.next(), steps.next(), steps.next(), steps.next()];
+        let [Some(""), Some(op_type), Some(volume), Some(key), None] = steps else {
+            return refused(404, "the path is not /op-type/volume/key");
+        };
+        let Some(op_type) = self.op_types.iter().position(|(name, _)| name == op_type) else {
+            return refused(404, "the path names no op type");
+        };
+        let Some((volume, key)) = hex(volume).zip(hex(key)) else {
+            return refused(404, format!("volume and key are not {} hex digits each", words::HEX_DIGITS));
+        };
+        Ok((op_type, volume, key))
+    }
+
+    fn placement(&self, text: &str) -> Result<(f64, Option<u32>, f64), Refused> {
+        let part = |name: &str| {
+            let mut own = text.split(',').filter_map(|part| part.trim().split_once('='));
+            own.find(|(own, _)| *own == name).map(|(_, value)| value)
+        };
+        let wrong =
+            |name: &str| refused(400, format!("{}: {name} is missing or not to be had", words::PLACEMENT));
+        let number = |name: &str| part(name).and_then(|text| text.parse::<f64>().ok());
+        let units = number(words::UNITS).filter(|n| n.is_finite() && *n > 0.0);
+        let Some(units) = units.filter(|n| self.most_units.is_none_or(|most| *n <= most)) else {
+            return wrong(words::UNITS);
+        };
+        let Some(gateways) = number(words::GATEWAYS).filter(|n| n.is_finite() && *n >= 1.0) else {
+            return wrong(words::GATEWAYS);
+        };
+        let shard = match part(words::SHARD) {
+            Some(words::NEW_OBJECT) => None,
+            Some(text) => {
+                let shard = text.parse().ok().filter(|n| self.shards.is_none_or(|all| *n < all));
+                let Some(shard) = shard else { return wrong(words::SHARD) };
+                Some(shard)
+            }
+            None => return wrong(words::SHARD),
+        };
+        Ok((units, shard, gateways))
+    }
+}
+
+fn text<'a>(request: &'a Request, name: &'static str) -> Result<&'a str, Refused> {
+    match request.headers.one(name) {
+        Ok(Some(value)) => match std::str::from_utf8(value) {
+            Ok(value) => Ok(value.trim()),
+            Err(_) => refused(400, format!("{name} is not text")),
+        },
+        Ok(None) => refused(400, format!("{name} is missing")),
+        Err(_) => refused(400, format!("{name} stands more than once")),
+    }
+}
+
+fn hex(text: &str) -> Option<u64> {
+    let digits = text.len() == words::HEX_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
--- /dev/null
+++ b/crates/platform/src/core.rs
@@ -0,0 +1,475 @@
+//! The core: one module, one record an op, one a store.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use umbertray::choice::Gateway;
+use umbertray::interface::{
+    Action, Answer, Event, ListNews, Listing, Op, OpId, Outcome, Report, Settings, StoreId, StoreState,
+    VolumeId,
+};
+use umbertray_http::Headers;
+use umbertray_http::{client, server};
+
+use crate::ask::{Ask, Names, Refused};
+use crate::config::Config;
+use crate::list::{Entry, List};
+use crate::words;
+
+/// Who waits for an answer: one request of one connection, never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// One dispatch of an op: how many of it went before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Call {
+    pub op: OpId,
+    pub dispatch: u32,
+}
+
+/// What became of a dispatch or probe.
+#[derive(Debug)]
+pub enum Returned {
+    /// A whole answer.
+    Answer(client::Answer),
+    /// Not all of the request was written: it never ran.
+    NeverWritten,
+    /// Written whole, then the connection broke, ended, or carried what cannot be read: it may have run.
+    Broken,
+    /// Written whole, and nothing came in its time: it may have run, or may yet.
+    TimedOut,
+    /// Called off after it was written whole.
+    Cancelled,
+}
+
+/// What happened. Times are when it happened, as spans since 1970.
+#[derive(Debug)]
+pub enum Input {
+    /// An op whose request's first byte came at that time.
+    Ask {
+        client: ClientId,
+        ask: Ask,
+        begun: Duration,
+    },
+    /// Nobody waits for the answer any more.
+    Left(ClientId),
+    Returned {
+        call: Call,
+        returned: Returned,
+        at: Duration,
+    },
+    Probed {
+        store: StoreId,
+        returned: Returned,
+    },
+    List(List),
+    /// A call for the list failed, or the watch broke.
+    ListFailed,
+    /// The settings from now on.
+    Changed(Settings),
+    /// Time has passed up to what [`Core::wake`] told.
+    Woken,
+}
+
+/// The final answer to an op.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Acked { kind: Option<Bytes>, body: Bytes },
+    Throttled { retry_after: Duration },
+    Aborted,
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Deed {
+    Answer {
+        client: ClientId,
+        reply: Reply,
+    },
+    /// To be sent to the store now; [`Core::begin`] gives the bytes once a connection stands.
+    Send {
+        call: Call,
+        store: StoreId,
+        address: SocketAddr,
+        until: Duration,
+    },
+    Cancel {
+        call: Call,
+    },
+    Probe {
+        store: StoreId,
+        address: SocketAddr,
+    },
+    /// The store is of no use any more: connections to it can go.
+    Drop {
+        store: StoreId,
+    },
+    Subscribe,
+    FetchList,
+    Log(String),
+    /// The module cannot run.
+    Fatal(String),
+}
+
+struct Door {
+    client: ClientId,
+    ask: Ask,
+    /// Dispatches without an outcome: their number, store, when they were sent and until when they may take.
+    out: Vec<Out>,
+    sent: u32,
+    ended: bool,
+}
+
+struct Out {
+    dispatch: u32,
+    store: StoreId,
+    at: Duration,
+    until: Duration,
+}
+
+struct Store {
+    uid: String,
+    address: SocketAddr,
+    state: StoreState,
+}
+
+/// Hosts one module behind the platform's protocol.
+pub struct Core {
+    module: Gateway,
+    now: Duration,
+    names: Names,
+    zones: Vec<String>,
+    fields: Vec<String>,
+    ops: HashMap<OpId, Door>,
+    clients: HashMap<ClientId, OpId>,
+    /// Ids of ops that wait for their final answer.
+    open: BTreeSet<Box<str>>,
+    next_op: u32,
+    stores: HashMap<StoreId, Store>,
+    store_ids: HashMap<String, StoreId>,
+    next_store: u32,
+    volume_ids: HashMap<u64, VolumeId>,
+    next_volume: u32,
+    version: u64,
+    listed: bool,
+    timers: BTreeSet<(Duration, u64)>,
+    events: Vec<Event>,
+    deeds: Vec<Deed>,
+}
+
+fn words_of(list: Option<&String>) -> Vec<String> {
+    let words = list.map_or("", String::as_str).split(',');
+    words.filter(|word| !word.is_empty()).map(String::from).collect()
+}
+
+impl Core {
+    /// A core at its start; `now` is a span since 1970, as the list tells starts.
+    pub fn start(config: &Config, now: Duration) -> Result<Core, String> {
+        let settings = &config.settings;
+        let names =
+            Names::of(settings).map_err(|name| format!("settings: {name} is missing or unreadable"))?;
+        let mut core = Core {
+            module: Gateway::default(),
+            now,
+            names,
+            zones: words_of(settings.get("failure_domains")),
+            fields: words_of(settings.get("telemetry.fields")),
+            ops: HashMap::new(),
+            clients: HashMap::new(),
+            open: BTreeSet::new(),
+            next_op: 0,
+            stores: HashMap::new(),
+            store_ids: HashMap::new(),
+            next_store: 0,
+            volume_ids: HashMap::new(),
+            next_volume: 0,
+            version: 0,
+            listed: false,
+            timers: BTreeSet::new(),
+            events: vec![Event::Start { seed: config.seed, settings: settings.clone() }],
+            deeds: Vec::new(),
+        };
+        let cached = core.listings(&config.known);
+        core.listed = config.known.stores.iter().any(|entry| entry.state == StoreState::Ready);
+        core.events.push(Event::List(ListNews::Cached(cached)));
+        Ok(core)
+    }
+
+    /// Reads a request as an op; its id must not be that of an open one.
+    pub fn check(&self, request: &server::Request) -> Result<Ask, Refused> {
+        let ask = self.names.ask(request)?;
+        if self.open.contains(&ask.id) {
+            return Err(Refused { status: 409, what: format!("{}: an open request has this id", words::ID) });
+        }
+        Ok(ask)
+    }
+
+    /// The module knows stores to decide on.
+    pub fn ready(&self) -> bool {
+        self.listed
+    }
+
+    /// The version of the list that is held.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Ops without their final answer.
+    pub fn open(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// When to come back with [`Input::Woken`] at the latest.
+    pub fn wake(&self) -> Option<Duration> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Takes all that happened up to now, at one moment.
+    pub fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Vec<Deed> {
+        self.now = now.max(self.now);
+        inputs.into_iter().for_each(|input| self.take(input));
+        while let Some((at, token)) = self.timers.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.timers.remove(&(at, token));
+            self.events.push(Event::Timer { token });
+        }
+        let events = std::mem::take(&mut self.events);
+        if !events.is_empty() {
+            let actions = self.module.handle(self.now, events);
+            actions.into_iter().for_each(|action| self.act(action));
+        }
+        std::mem::take(&mut self.deeds)
+    }
+
+    /// The bytes of a dispatch, once a connection for it stands. Nothing, if its op has its final answer by now or its
+    /// store is not to be used any more (rules 1 and 3): it is then to be returned as never written.
+    pub fn begin(&self, call: Call, now: Duration) -> Option<Bytes> {
+        let door = self.ops.get(&call.op).filter(|door| !door.ended)?;
+        let out = door.out.iter().find(|out| out.dispatch == call.dispatch && now < out.until)?;
+        let store = self.stores.get(&out.store).filter(|store| store.state == StoreState::Ready)?;
+        let left = (out.until - now).as_millis().to_string();
+        let told = [(words::ID, door.ask.id.as_bytes()), (words::TIME_LEFT, left.as_bytes())];
+        let (host, ask) = (store.address.to_string(), &door.ask);
+        Some(client::request(ask.method, &ask.target, &host, &told, &ask.body))
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Ask { client, ask, begun } => self.asked(client, ask, begun),
+            Input::Left(client) => {
+                if let Some(op) = self.clients.get(&client).copied() {
+                    self.events.push(Event::ClientLeft { op });
+                    self.ended(op);
+                }
+            }
+            Input::Returned { call, returned, at } => self.returned(call, returned, at),
+            Input::Probed { store, returned } => {
+                let (outcome, report) = match &returned {
+                    Returned::Answer(answer) if answer.head.status == 200 => {
+                        (Outcome::Acked, self.probe_report(answer))
+                    }
+                    other => (outcome(other), Report::new()),
+                };
+                self.events.push(Event::Probed { store, outcome, report });
+            }
+            Input::List(list) => {
+                let (version, whole) = (list.version, list.whole);
+                let listings = self.listings(&list);
+                self.version = version;
+                self.listed |= !list.stores.is_empty();
+                let news = if whole { ListNews::Full(listings) } else { ListNews::Changes(listings) };
+                self.events.push(Event::List(news));
+            }
+            Input::ListFailed => self.events.push(Event::List(ListNews::Failed)),
+            Input::Changed(settings) => self.changed(settings),
+            Input::Woken => {}
+        }
+    }
+
+    /// Settings that name no op types and plans are not taken; what is open goes on under its numbers.
+    fn changed(&mut self, settings: Settings) {
+        match Names::of(&settings) {
+            Ok(names) => {
+                self.names = names;
+                self.zones = words_of(settings.get("failure_domains"));
+                self.fields = words_of(settings.get("telemetry.fields"));
+                self.events.push(Event::Changed { settings });
+            }
+            Err(name) => {
+                self.deeds.push(Deed::Log(format!("settings not taken: {name} is missing or unreadable")))
+            }
+        }
+    }
+
+    fn asked(&mut self, client: ClientId, ask: Ask, begun: Duration) {
+        let id = OpId(self.next_op);
+        self.next_op = self.next_op.wrapping_add(1);
+        let next_volume = VolumeId(self.next_volume);
+        let volume = *self.volume_ids.entry(ask.volume).or_insert(next_volume);
+        if volume == next_volume {
+            self.next_volume += 1;
+        }
+        self.events.push(Event::Arrived(Op {
+            id,
+            units: ask.units,
+            volume,
+            volume_name: ask.volume,
+            key: (ask.key != 0).then_some(ask.key),
+            shard: ask.shard,
+            left: ask.left.saturating_sub(self.now.saturating_sub(begun)),
+            plan: ask.plan,
+            op_type: ask.op_type,
+            gateways: ask.gateways,
+        }));
+        self.open.insert(ask.id.clone());
+        self.clients.insert(client, id);
+        self.ops.insert(id, Door { client, ask, out: Vec::new(), sent: 0, ended: false });
+    }
+
+    /// The op has its final answer, or nobody waits for one.
+    fn ended(&mut self, op: OpId) {
+        let Some(door) = self.ops.get_mut(&op) else { return };
+        if !std::mem::replace(&mut door.ended, true) {
+            self.open.remove(&door.ask.id);
+            self.clients.remove(&door.client);
+        }
+        if door.out.is_empty() {
+            self.ops.remove(&op);
+        }
+    }
+
+    fn answer(&mut self, op: OpId, reply: Reply) {
+        if let Some(door) = self.ops.get(&op).filter(|door| !door.ended) {
+            self.deeds.push(Deed::Answer { client: door.client, reply });
+            self.ended(op);
+        }
+    }
+
+    fn returned(&mut self, call: Call, returned: Returned, at: Duration) {
+        let Some(door) = self.ops.get_mut(&call.op) else { return };
+        let Some(place) = door.out.iter().position(|out| out.dispatch == call.dispatch) else { return };
+        let out = door.out.swap_remove(place);
+        let was_ended = door.ended;
+        let mut answer = Answer {
+            op: call.op,
+            dispatch: call.dispatch,
+            store: out.store,
+            outcome: outcome(&returned),
+            latency: at.saturating_sub(out.at),
+            ended: was_ended,
+            used: None,
+            elsewhere: 0.0,
+            report: Report::new(),
+        };
+        if let Returned::Answer(from) = returned {
+            let headers = &from.head.headers;
+            answer.used = number(headers, words::USED).map(|percent| percent / 100.0);
+            answer.elsewhere = number(headers, words::ELSEWHERE).unwrap_or_default();
+            answer.report = self.report(headers.one(words::LOAD).ok().flatten().unwrap_or_default());
+            if answer.outcome == Outcome::Acked {
+                let kind = headers.one("Content-Type").ok().flatten().map(Bytes::copy_from_slice);
+                self.answer(call.op, Reply::Acked { kind, body: from.body });
+                answer.ended = true;
+            }
+        }
+        self.events.push(Event::Answered(answer));
+        if was_ended {
+            self.ended(call.op);
+        }
+    }
+
+    /// A load report; fields that settings do not name or that cannot be read are passed over.
+    fn report(&self, text: &[u8]) -> Report {
+        let parts = std::str::from_utf8(text).unwrap_or_default().split(',');
+        let pairs = parts.filter_map(|part| part.trim().split_once('='));
+        let read = |(name, value): (&str, &str)| {
+            let value = value.parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)?;
+            self.fields.iter().any(|own| own == name).then(|| (name.to_string(), value))
+        };
+        pairs.filter_map(read).collect()
+    }
+
+    fn probe_report(&self, answer: &client::Answer) -> Report {
+        let told = answer.head.headers.one(words::LOAD).ok().flatten();
+        self.report(told.unwrap_or(&answer.body))
+    }
+
+    fn listings(&mut self, list: &List) -> Vec<Listing> {
+        if list.whole {
+            let named = |uid: &str| list.stores.iter().any(|entry| entry.uid == uid);
+            for store in self.stores.values_mut().filter(|store| !named(&store.uid)) {
+                store.state = StoreState::Gone;
+            }
+        }
+        list.stores.iter().map(|entry| self.listing(entry)).collect()
+    }
+
+    fn listing(&mut self, entry: &Entry) -> Listing {
+        let next = StoreId(self.next_store);
+        let store = *self.store_ids.entry(entry.uid.clone()).or_insert(next);
+        if store == next {
+            self.next_store += 1;
+        }
+        let (uid, address, state) = (entry.uid.clone(), entry.address, entry.state);
+        self.stores.insert(store, Store { uid, address, state });
+        let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(self.zones.len());
+        Listing { store, shard: entry.shard, zone: zone as u32, started: entry.started, state }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Dispatch { op, store, timeout } => {
+                let (at, until) = (self.now, self.now + timeout);
+                let Some((door, address)) =
+                    self.ops.get_mut(&op).zip(self.stores.get(&store).map(|store| store.address))
+                else {
+                    return;
+                };
+                let call = Call { op, dispatch: door.sent };
+                door.out.push(Out { dispatch: door.sent, store, at, until });
+                door.sent += 1;
+                self.deeds.push(Deed::Send { call, store, address, until });
+            }
+            Action::Throttle { op, retry_after } => self.answer(op, Reply::Throttled { retry_after }),
+            Action::Abort { op } => self.answer(op, Reply::Aborted),
+            Action::Cancel { op, dispatch } => self.deeds.push(Deed::Cancel { call: Call { op, dispatch } }),
+            Action::Timer { token, at } => _ = self.timers.insert((at, token)),
+            Action::Subscribe => self.deeds.push(Deed::Subscribe),
+            Action::FetchList => self.deeds.push(Deed::FetchList),
+            Action::Probe { store } => {
+                if let Some(address) = self.stores.get(&store).map(|store| store.address) {
+                    self.deeds.push(Deed::Probe { store, address });
+                }
+            }
+            // Nothing here survives the process.
+            Action::Known { .. } => {}
+            Action::Log(text) => self.deeds.push(Deed::Log(text)),
+            Action::Fatal(text) => self.deeds.push(Deed::Fatal(text)),
+        }
+    }
+}
+
+/// A figure that may be missing; what cannot be read is taken as missing.
+fn number(headers: &Headers, name: &str) -> Option<f64> {
+    let text = std::str::from_utf8(headers.one(name).ok().flatten()?).ok()?;
+    text.trim().parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)
+}
+
+fn outcome(returned: &Returned) -> Outcome {
+    match returned {
+        Returned::Answer(answer) => {
+            let unrun = answer.head.headers.one(words::NEVER_RAN);
+            let unrun = unrun.is_ok_and(|value| value.is_some_and(|value| value.trim_ascii() == b"1"));
+            match answer.head.status {
+                200 => Outcome::Acked,
+                503 | 504 if unrun => Outcome::Full,
+                _ => Outcome::Error,
+            }
+        }
+        Returned::NeverWritten => Outcome::ConnectFailed,
+        Returned::Broken => Outcome::Reset,
+        Returned::TimedOut => Outcome::TimedOut,
+        Returned::Cancelled => Outcome::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! The platform's protocol between bytes and decisions: its words, its configuration, its list of stores, requests to
+//! ops and answers to outcomes. [`Core`] hosts one decision module. Free of sockets, clock and chance: all that comes
+//! in is data with its time, and so is all that goes out.
+
+pub mod ask;
+pub mod config;
+mod core;
+pub mod list;
+pub mod words;
+
+pub use ask::{Ask, Refused};
+pub use config::Config;
+pub use core::{Call, ClientId, Core, Deed, Input, Reply, Returned};
+pub use umbertray::interface::{OpId, StoreId};
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,122 @@
+//! The list of stores as discovery tells it: whole, or what changed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use serde::Deserialize;
+use umbertray::interface::StoreState;
+
+/// One object of the list holds at most so many bytes.
+const LONGEST_OBJECT: usize = 1 << 20;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct List {
+    pub version: u64,
+    pub whole: bool,
+    pub stores: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub uid: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub shard: u32,
+    pub state: StoreState,
+    /// Since 1970; absent: long ago.
+    pub started: Option<Duration>,
+}
+
+#[derive(Debug, thiserror::Error)]
+#[error("the list, version {version}, entry {entry}: {what}")]
+pub struct Unreadable {
+    /// 0 where not even that could be read.
+    version: u64,
+    entry: String,
+    what: String,
+}
+
+#[derive(Deserialize)]
+struct Told {
+    rev: u64,
+    all: bool,
+    targets: Vec<ToldEntry>,
+}
+
+#[derive(Deserialize)]
+struct ToldEntry {
+    uid: String,
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    pod_group: u32,
+    state: String,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+impl List {
+    pub fn read(bytes: &[u8]) -> Result<List, Unreadable> {
+        let told: Told = serde_json::from_slice(bytes).map_err(|error| Unreadable {
+            version: 0,
+            entry: "unknown".into(),
+            what: error.to_string(),
+        })?;
+        let entry = |entry: ToldEntry| {
+            let wrong = |what: String| Unreadable { version: told.rev, entry: entry.uid.clone(), what };
+            Ok(Entry {
+                address: entry.endpoint.parse().map_err(|e| wrong(format!("endpoint: {e}")))?,
+                zone: entry.az,
+                shard: entry.pod_group,
+                state: match entry.state.as_str() {
+                    "ready" => StoreState::Ready,
+                    "draining" => StoreState::Draining,
+                    "gone" => StoreState::Gone,
+                    other => return Err(wrong(format!("state {other:?}"))),
+                },
+                started: (entry.boot_ms > 0).then(|| Duration::from_millis(entry.boot_ms)),
+                uid: entry.uid,
+            })
+        };
+        let stores = told.targets.into_iter().map(entry).collect::<Result<_, _>>()?;
+        Ok(List { version: told.rev, whole: told.all, stores })
+    }
+}
+
+/// What a watch tells, an object a line; lines may be split over reads.
+#[derive(Default)]
+pub struct Lines {
+    pub bytes: BytesMut,
+    searched: usize,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Line {
+    Alive,
+    List(List),
+}
+
+impl Lines {
+    /// The next whole line. After an error the list has to be asked for anew.
+    pub fn line(&mut self) -> Result<Option<Line>, Unreadable> {
+        let Some(end) = self.bytes[self.searched..].iter().position(|byte| *byte == b'\n') else {
+            self.searched = self.bytes.len();
+            if self.searched > LONGEST_OBJECT {
+                let what = format!("longer than {LONGEST_OBJECT} bytes");
+                return Err(Unreadable { version: 0, entry: "unknown".into(), what });
+            }
+            return Ok(None);
+        };
+        let line = self.bytes.split_to(self.searched + end);
+        self.bytes.advance(1);
+        self.searched = 0;
+        let line = line.trim_ascii();
+        if line.is_empty() {
+            Ok(Some(Line::Alive))
+        } else {
+            List::read(line).map(|list| Some(Line::List(list)))
+        }
+    }
+}
