Log at debug how each op ended, each dispatch returned and each store was listed

Needed to hold what the gateway believes against what crossed the sockets. Off by default: info logs nothing on each op.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -200,6 +200,7 @@
                 .map(|()| self.stays(persists)));
         }
         let ask = self.hub.check(&request)?;
+        let (target, shard, left) = (request.target, ask.shard, ask.left);
         let (client, mut answered) = self.hub.ask(ask, self.begun);
         let reply = tokio::select! {
             reply = &mut answered => reply,
@@ -209,6 +210,8 @@
             }
         };
         let Ok(reply) = reply else { return Ok(None) };
+        let took = self.hub.clock.now().saturating_sub(self.begun);
+        tracing::debug!(%target, shard, ?left, ?took, %reply, "answered");
         let bytes = self.closing(persists, |close| rendered(&reply, close));
         Ok(self.write(bytes).await.map(|()| self.stays(persists)))
     }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -165,7 +165,21 @@
     until: Duration,
     written: &Cell<bool>,
 ) -> (Returned, Duration) {
-    let due = hub.clock.instant(until).into();
+    let (due, asked) = (hub.clock.instant(until).into(), hub.clock.now());
+    let (returned, at) = carried(hub, call, store, address, due, written).await;
+    let took = at.saturating_sub(asked);
+    tracing::debug!(op = call.op.0, call.dispatch, store = store.0, ?took, %returned, "returned");
+    (returned, at)
+}
+
+async fn carried(
+    hub: &Rc<Hub>,
+    call: Call,
+    store: StoreId,
+    address: SocketAddr,
+    due: tokio::time::Instant,
+    written: &Cell<bool>,
+) -> (Returned, Duration) {
     let sent = timeout_at(due, async {
         let mut link = hub.pools.link(store, address).await?;
         let bytes = hub.begin(call)?;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -156,6 +156,10 @@
             return Err(Broken::Older { held, told: list.version });
         }
         (self.held, self.heard) = (Some(list.version), true);
+        for store in &list.stores {
+            let (uid, shard, state) = (&store.uid, store.shard, store.state);
+            tracing::debug!(version = list.version, uid, shard, ?state, started = ?store.started, "store listed");
+        }
         self.hub.post(Input::List(list));
         Ok(())
     }
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -44,6 +44,18 @@
     Cancelled,
 }
 
+impl std::fmt::Display for Returned {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Returned::Answer(answer) => write!(f, "answered {}", answer.head.status),
+            Returned::NeverWritten => write!(f, "never written"),
+            Returned::Broken => write!(f, "broken"),
+            Returned::TimedOut => write!(f, "timed out"),
+            Returned::Cancelled => write!(f, "cancelled"),
+        }
+    }
+}
+
 /// What happened. Times are when it happened, as spans since 1970.
 #[derive(Debug)]
 pub enum Input {
@@ -81,6 +93,16 @@
     Aborted,
 }
 
+impl std::fmt::Display for Reply {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Reply::Acked { body, .. } => write!(f, "acked with {} bytes", body.len()),
+            Reply::Throttled { retry_after } => write!(f, "throttled for {retry_after:?}"),
+            Reply::Aborted => write!(f, "aborted"),
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Debug, PartialEq)]
 pub enum Deed {
