--- /dev/null
+++ b/crates/cli/tests/platform/bad_peers.rs
@@ -0,0 +1,165 @@
+use std::time::{Duration, Instant};
+
+use umbertray_standin::platform::{Act, Discovery, Seen, Store, ok};
+
+use crate::common::{Node, op, within};
+
+/// What a client may send that is no op, and the status that it gets before its connection is closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_an_error_and_a_close_and_reach_no_store() {
+    let (node, store, _discovery) = Node::with_store(|_| Act::Write(ok("never"))).await;
+    let good = String::from_utf8(op("order", 0, 1, 2000)).expect("text");
+    let with = |from: &str, to: &str| {
+        assert!(good.contains(from), "{from}");
+        good.replace(from, to)
+    };
+    let hidden = String::from_utf8(op("look", 0, 2, 2000)).expect("text");
+    let cases = [
+        (400, "\u{1}\u{2}noise\r\n\r\n".to_string()),
+        (431, format!("GET /{}", "a".repeat(20_000))),
+        (431, format!("GET / HTTP/1.1\r\n{}", "A: b\r\n".repeat(5000))),
+        (400, with("Content-Length: 4", "Content-Length:")),
+        (400, with("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 4")),
+        (400, with("Content-Length: 4", "Content-Length: -4")),
+        (400, with("Content-Length: 4", "Content-Length: 99999999999999999999")),
+        (413, with("Content-Length: 4", "Content-Length: 60000000")),
+        (400, with("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked") + &hidden),
+        (501, with("Content-Length: 4", "Transfer-Encoding: gzip")),
+        (404, with("/order/", "/unknown/")),
+        (404, with("/order/", "/")),
+        (405, with("PUT ", "DELETE ")),
+        (400, with("X-Qos-Policy: basic", "X-Qos-Policy: none")),
+        (400, with("X-Time-Left-Ms: 2000", "X-Time-Left-Ms: soon")),
+        (400, with("X-Correlation-Id: 0000000000000001\r\n", "")),
+        (400, with("units=1", "units=x")),
+    ];
+    for (status, bytes) in cases {
+        let what = bytes.chars().take(60).collect::<String>();
+        let mut caller = node.connect().await;
+        assert_eq!(caller.ask(bytes.as_bytes()).await.0, status, "{what}");
+        assert_eq!(caller.answer().await, None, "closed: {what}");
+    }
+    assert_eq!(store.requests(), []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_body_is_refused_from_its_head_and_not_read() {
+    let (node, _store, _discovery) = Node::with_store(|_| Act::Hold).await;
+    let mut caller = node.connect().await;
+    let head = String::from_utf8(op("order", 0, 1, 2000))
+        .expect("text")
+        .replace("Content-Length: 4", "Content-Length: 60000000");
+    assert_eq!(caller.ask(head.as_bytes()).await.0, 413);
+    let began = Instant::now();
+    let part = vec![b'a'; 1 << 16];
+    let sending = async {
+        use tokio::io::AsyncWriteExt;
+        while caller.stream.write_all(&part).await.is_ok() {}
+    };
+    within(5, "an end to what is taken", sending).await;
+    assert!(began.elapsed() < Duration::from_secs(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_id_of_an_open_request_is_not_taken_twice() {
+    let (node, store, _discovery) = Node::with_store(|_| Act::Hold).await;
+    let mut first = node.connect().await;
+    first.write(&op("look", 0, 7, 800)).await;
+    within(5, "the first at the store", store.until(|seen| !seen.is_empty())).await;
+    assert_eq!(node.connect().await.ask(&op("look", 0, 7, 800)).await.0, 409);
+    assert_eq!(first.answer().await.expect("an answer").head.status, 503);
+    assert_eq!(store.requests().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_request_and_silence_end_in_their_time() {
+    let (node, _store, _discovery) = Node::with_store(|_| Act::Hold).await;
+    let (mut half, mut silent) = (node.connect().await, node.connect().await);
+    let bytes = op("order", 0, 1, 2000);
+    half.write(&bytes[..bytes.len() - 2]).await;
+    let began = Instant::now();
+    assert_eq!(half.answer().await.expect("told why").head.status, 408);
+    assert_eq!((half.answer().await, silent.answer().await), (None, None));
+    assert!(began.elapsed() < Duration::from_secs(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_by_hundreds_leave_room_for_usual_clients() {
+    let discovery = Discovery::start().await.expect("loopback");
+    let store = Store::start(|_, _| Act::Write(ok("served"))).await.expect("loopback");
+    discovery.list("s0", store.address, 0, "ready");
+    let node = Node::start(&discovery, 40).await;
+    node.ready().await;
+    let mut usual = node.connect().await;
+    assert_eq!(usual.ask(&op("look", 0, 1000, 2000)).await.0, 200);
+    let mut silent = Vec::new();
+    for n in 0..200 {
+        silent.push(node.connect().await);
+        if n % 10 == 0 {
+            assert_eq!(
+                node.connect().await.ask(&op("look", 0, n, 2000)).await.0,
+                200,
+                "beside {n} silent ones"
+            );
+        }
+    }
+    assert_eq!(usual.ask(&op("look", 0, 1001, 2000)).await.0, 200, "one that was served before goes on");
+}
+
+/// A store's answers that are none: the dispatch may have run, nothing of the answer reaches the client.
+#[tokio::test(flavor = "multi_thread")]
+async fn spoilt_answers_are_failed_dispatches() {
+    let spoilt: [Vec<u8>; 6] = [
+        b"\x00\x01\x02 noise \xff\r\n\r\n".to_vec(),
+        [&b"HTTP/1.1 200 OK\r\nX-Endless: "[..], &[b'a'; 20_000]].concat(),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nbad!".to_vec(),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nbad!".to_vec(),
+        [&b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"[..], &[b'a'; 200_000]].concat(),
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nbad!".to_vec(),
+    ];
+    for answer in spoilt {
+        let what = String::from_utf8_lossy(&answer[..60.min(answer.len())]).into_owned();
+        let (node, store, _discovery) = Node::with_store(move |_| Act::Write(answer.clone())).await;
+        let (status, body) = node.connect().await.ask(&op("order", 0, 1, 1000)).await;
+        assert_eq!((status, body), (500, String::new()), "{what}");
+        within(5, "its connection's end", store.until(|seen| seen.contains(&Seen::Closed { connection: 0 })))
+            .await;
+        assert_eq!(store.requests().len(), 1, "{what}");
+    }
+}
+
+/// The platform tells of 64 KiB at most, but stores send more: it is their answer, and the memory bounds it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_larger_than_told_is_served_while_there_is_room() {
+    let large = "x".repeat(400_000);
+    let endless = [&b"HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n"[..], &[b'a'; 100_000]].concat();
+    let body = large.clone();
+    let (node, _store, _discovery) =
+        Node::with_store(move |n| Act::Write(if n == 50 { endless.clone() } else { ok(&body) })).await;
+    let mut caller = node.connect().await;
+    for n in 0..50 {
+        assert_eq!(
+            caller.ask(&op("order", 0, n, 2000)).await,
+            (200, large.clone()),
+            "room is given back: {n}"
+        );
+    }
+    assert_eq!(caller.ask(&op("order", 0, 50, 2000)).await.0, 500, "more than one answer may hold");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_good_answer_counts_whatever_surrounds_it_and_what_follows_it_is_never_taken() {
+    let answer = [
+        &b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"[..],
+        &ok("first"),
+        &ok("second copy"),
+    ]
+    .concat();
+    let (node, store, _discovery) =
+        Node::with_store(move |n| Act::Write(if n == 0 { answer.clone() } else { ok("its own") })).await;
+    let mut caller = node.connect().await;
+    assert_eq!(caller.ask(&op("order", 0, 1, 2000)).await, (200, "first".into()));
+    within(5, "the connection's end", store.until(|seen| seen.contains(&Seen::Closed { connection: 0 })))
+        .await;
+    assert_eq!(caller.ask(&op("order", 0, 2, 2000)).await, (200, "its own".into()));
+}
--- /dev/null
+++ b/crates/cli/tests/platform/main.rs
@@ -0,0 +1,7 @@
+//! `umbertray node` as its operators run it: the real program between scripted clients, stores and discovery on
+//! loopback. What is judged is what crossed the sockets.
+
+mod bad_peers;
+mod common;
+mod serving;
+mod signals;
--- /dev/null
+++ b/crates/cli/tests/platform/serving.rs
@@ -0,0 +1,134 @@
+use std::time::{Duration, Instant};
+
+use umbertray_standin::platform::{Act, Discovery, Seen, Store, ok};
+
+use crate::common::{Node, op, within};
+
+fn closed(connection: u64) -> impl Fn(&Vec<Seen>) -> bool {
+    move |seen| seen.contains(&Seen::Closed { connection })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ops_are_served_over_one_connection_to_the_store() {
+    let (node, store, _discovery) = Node::with_store(|n| Act::Write(ok(&format!("body {n}")))).await;
+    let mut caller = node.connect().await;
+    for n in 0..20 {
+        let op_type = if n % 2 == 0 { "look" } else { "order" };
+        assert_eq!(caller.ask(&op(op_type, 0, n, 2000)).await, (200, format!("body {n}")));
+    }
+    let requests = store.requests();
+    assert_eq!(requests.len(), 20);
+    assert!(
+        requests.iter().all(|(connection, _)| *connection == requests[0].0),
+        "one connection serves them all"
+    );
+    let left = requests[0].1.headers.one("X-Time-Left-Ms").expect("once").expect("told").to_vec();
+    let left: u64 = String::from_utf8(left).expect("text").parse().expect("a number");
+    assert!((1500..2000).contains(&left), "what is left: {left}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_broke_after_the_last_byte_may_have_run_the_op() {
+    let (node, store, _discovery) =
+        Node::with_store(|n| if n % 2 == 0 { Act::Close } else { Act::Write(ok("served")) }).await;
+    let mut caller = node.connect().await;
+    assert_eq!(
+        caller.ask(&op("look", 0, 1, 2000)).await,
+        (200, "served".into()),
+        "may run again, and is sent again"
+    );
+    assert_eq!(store.requests().len(), 2);
+    let (status, _) = caller.ask(&op("order", 0, 2, 2000)).await;
+    assert_eq!(
+        (status, store.requests().len()),
+        (500, 3),
+        "once only: not again, and no word that it is harmless"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_refuses_connections_never_ran_the_op() {
+    let discovery = Discovery::start().await.expect("loopback");
+    let store = Store::start(|_, _| Act::Hold).await.expect("loopback");
+    discovery.list("s0", store.address, 0, "ready");
+    drop(store);
+    let node = Node::start(&discovery, 256).await;
+    node.ready().await;
+    let (status, _) = node.connect().await.ask(&op("order", 0, 1, 500)).await;
+    assert_eq!(status, 503, "once only, and trying again is harmless");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_ended_while_idle_is_not_written_to() {
+    let (node, store, _discovery) = Node::with_store(|_| Act::WriteAndClose(ok("once"))).await;
+    let mut caller = node.connect().await;
+    for n in 0..5 {
+        assert_eq!(caller.ask(&op("order", 0, n, 2000)).await, (200, "once".into()));
+        within(5, "the store's close", store.until(closed(n))).await;
+    }
+    assert_eq!(store.requests().len(), 5, "each op ran once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_op_whose_time_is_up_is_answered_and_its_connection_closed() {
+    let (node, store, _discovery) = Node::with_store(|_| Act::Hold).await;
+    let began = Instant::now();
+    let (status, _) = node.connect().await.ask(&op("look", 0, 1, 400)).await;
+    let took = began.elapsed();
+    assert!(status == 503 && took < Duration::from_millis(450), "{status} after {took:?}");
+    within(5, "the end of the dispatch's connection", store.until(closed(0))).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_leaves_while_its_op_waits_has_it_dropped() {
+    let discovery = Discovery::start().await.expect("loopback");
+    let store = Store::start(|_, _| Act::Write(ok("late"))).await.expect("loopback");
+    discovery.list("s1", store.address, 1, "ready");
+    let other = Store::start(|_, _| Act::Write(ok("here"))).await.expect("loopback");
+    discovery.list("s0", other.address, 0, "draining");
+    let node = Node::start(&discovery, 256).await;
+    node.ready().await;
+    // The only store of its shard is not to be used yet: the op waits. More behind it is read ahead.
+    let mut leaving = node.connect().await;
+    leaving.write(&op("look", 0, 1, 2000)).await;
+    leaving.write(&op("look", 0, 2, 2000).repeat(40)).await;
+    drop(leaving);
+    let mut staying = node.connect().await;
+    assert_eq!(staying.ask(&op("look", 1, 3, 2000)).await.0, 200);
+    staying.write(&op("look", 0, 4, 2000)).await;
+    discovery.list("s0", other.address, 0, "ready");
+    let answer = staying.answer().await.expect("an answer");
+    assert_eq!((answer.head.status, &answer.body[..]), (200, &b"here"[..]));
+    let ids: Vec<_> = other
+        .requests()
+        .into_iter()
+        .map(|(_, r)| r.headers.one("X-Correlation-Id").map(|v| v.map(<[u8]>::to_vec)))
+        .collect();
+    assert_eq!(ids, [Ok(Some(b"0000000000000004".to_vec()))], "nothing for a client that has gone");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_requests_at_once_on_one_connection_are_answered_in_order() {
+    let (node, _store, _discovery) = Node::with_store(|n| Act::Write(ok(&n.to_string()))).await;
+    let mut caller = node.connect().await;
+    let all: Vec<u8> = (0..60).flat_map(|n| op("look", 0, n, 2000)).collect();
+    caller.write(&all).await;
+    for n in 0..60 {
+        let answer = caller.answer().await.expect("an answer");
+        assert_eq!((answer.head.status, &answer.body[..]), (200, n.to_string().as_bytes()));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_that_tells_what_cannot_be_read_is_asked_anew_and_the_list_kept() {
+    let (node, _store, discovery) = Node::with_store(|_| Act::Write(ok("served"))).await;
+    let wholes = |asked: &Vec<String>| asked.iter().filter(|target| !target.contains('?')).count();
+    within(5, "the watch", discovery.until_asked(|asked| asked.iter().any(|t| t.contains("watch=1")))).await;
+    discovery.say("{\"rev\":9,");
+    within(5, "the whole list anew", discovery.until_asked(|asked| wholes(asked) == 2)).await;
+    assert_eq!(node.connect().await.ask(&op("look", 0, 1, 2000)).await.0, 200);
+    discovery.say(r#"{"rev":0,"all":true,"targets":[]}"#);
+    within(5, "the whole list after an older version", discovery.until_asked(|asked| wholes(asked) == 3))
+        .await;
+    assert_eq!(node.connect().await.ask(&op("look", 0, 2, 2000)).await.0, 200);
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -36,6 +36,14 @@
         })
     }
 
+    /// What is still to come for sure.
+    pub(crate) fn left(&self) -> usize {
+        match self.0 {
+            State::Length(left) | State::ChunkData(left) => usize::try_from(left).unwrap_or(usize::MAX),
+            _ => 0,
+        }
+    }
+
     /// Moves what there is of the body; true once it is whole.
     pub fn decode(&mut self, bytes: &mut BytesMut, body: &mut BytesMut) -> Result<bool, Malformed> {
         loop {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -53,6 +53,9 @@
                     if minor == 0 && framing == Framing::Chunked {
                         return Err(Malformed::Coding);
                     }
+                    if matches!(framing, Framing::Length(length) if length > self.limits.body as u64) {
+                        return Err(Malformed::BodyTooLong(self.limits.body));
+                    }
                     self.begin(head, framing);
                 }
             }
@@ -86,6 +89,11 @@
         self.decoder.as_mut().map_or(Ok(false), |decoder| decoder.decode(&mut self.bytes, into))
     }
 
+    /// How much of the answer's body has come, or will come as far as its head says.
+    pub fn size(&self) -> usize {
+        self.decoder.as_ref().map_or(0, |decoder| self.body.len().saturating_add(decoder.left()))
+    }
+
     /// The whole answer, once it has come.
     pub fn answer(&mut self) -> Result<Option<Answer>, Malformed> {
         if self.head()?.is_none() {
--- /dev/null
+++ b/crates/http/tests/messages.rs
@@ -0,0 +1,222 @@
+//! Messages cut anywhere over reads, and bytes that are none.
+
+use bytes::BytesMut;
+use quickcheck::quickcheck;
+use umbertray_http::client::{self, Answer, Answers};
+use umbertray_http::server::{self, Next, Request, Requests};
+use umbertray_http::{Limits, Malformed};
+
+const LIMITS: Limits = Limits { head: 1024, body: 512 };
+
+const REQUESTS: &[u8] = b"PUT /a/b HTTP/1.1\r\nHost: x\r\nX-Own: 1\r\nContent-Length: 5\r\n\r\nhello\
+    GET /c?d=e HTTP/1.1\r\nhost: x\r\n\r\n\
+    \r\nPUT /f HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;kind=1\r\nabc\r\nA\r\n0123456789\r\n0\r\nTail: 1\r\n\r\n\
+    GET /g HTTP/1.0\r\n\r\n";
+
+const ANSWERS: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n\
+    HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nabc\
+    HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n\
+    HTTP/1.1 204 None\r\nConnection: close\r\n\r\n";
+
+/// Cuts bytes at the places that the numbers tell.
+fn cut(bytes: &[u8], places: &[usize]) -> Vec<Vec<u8>> {
+    let mut places: Vec<usize> = places.iter().map(|place| place % (bytes.len() + 1)).collect();
+    places.extend([0, bytes.len()]);
+    places.sort_unstable();
+    places.windows(2).map(|pair| bytes[pair[0]..pair[1]].to_vec()).collect()
+}
+
+fn requests(parts: &[Vec<u8>]) -> Result<Vec<Request>, Malformed> {
+    let (mut reader, mut whole) = (Requests::new(LIMITS), Vec::new());
+    for part in parts {
+        reader.bytes.extend_from_slice(part);
+        while let Next::Request(request) = reader.request()? {
+            whole.push(request);
+        }
+    }
+    Ok(whole)
+}
+
+fn answers(parts: &[Vec<u8>]) -> Result<Vec<Answer>, Malformed> {
+    let (mut reader, mut whole) = (Answers::new(LIMITS), Vec::new());
+    for part in parts {
+        reader.bytes.extend_from_slice(part);
+        while let Some(answer) = reader.answer()? {
+            whole.push(answer);
+        }
+    }
+    Ok(whole)
+}
+
+quickcheck! {
+    fn cuts_do_not_change_requests(places: Vec<usize>) -> bool {
+        requests(&cut(REQUESTS, &places)) == requests(&[REQUESTS.to_vec()])
+    }
+
+    fn cuts_do_not_change_answers(places: Vec<usize>) -> bool {
+        answers(&cut(ANSWERS, &places)) == answers(&[ANSWERS.to_vec()])
+    }
+
+    /// What comes is taken or refused, and no more is held than the limits say.
+    fn noise_is_refused_or_waited_for(noise: Vec<u8>, copies: u8) -> bool {
+        let noise = noise.repeat(usize::from(copies));
+        let held = requests(std::slice::from_ref(&noise)).is_ok();
+        answers(std::slice::from_ref(&noise)).ok();
+        !held || noise.len() < LIMITS.head || noise.iter().all(|byte| b"\r\n".contains(byte))
+    }
+}
+
+fn single_bytes(bytes: &[u8]) -> Vec<Vec<u8>> {
+    bytes.iter().map(|byte| vec![*byte]).collect()
+}
+
+#[test]
+fn requests_in_single_bytes_are_read_as_they_are() {
+    let whole = requests(&single_bytes(REQUESTS)).expect("well formed");
+    let told: Vec<_> = whole.iter().map(|r| (&*r.method, &*r.target, &r.body[..], r.persists)).collect();
+    let expected: [(&str, &str, &[u8], bool); 4] = [
+        ("PUT", "/a/b", b"hello", true),
+        ("GET", "/c?d=e", b"", true),
+        ("PUT", "/f", b"abc0123456789", true),
+        ("GET", "/g", b"", false),
+    ];
+    assert_eq!(told, expected);
+    assert_eq!(whole[0].headers.one("x-own"), Ok(Some(&b"1"[..])));
+}
+
+#[test]
+fn answers_in_single_bytes_are_read_as_they_are() {
+    let whole = answers(&single_bytes(ANSWERS)).expect("well formed");
+    let told: Vec<_> = whole.iter().map(|a| (a.head.status, &a.body[..], a.head.persists)).collect();
+    assert_eq!(told, [(200, &b"abc"[..], true), (503, &b"no"[..], true), (204, &b""[..], false)]);
+}
+
+fn refused(head: &str) -> Malformed {
+    requests(&[head.as_bytes().to_vec()]).expect_err(head)
+}
+
+fn with(fields: &str) -> Malformed {
+    refused(&format!("PUT /a HTTP/1.1\r\nHost: x\r\n{fields}\r\n\r\n"))
+}
+
+#[test]
+fn lengths_that_two_readers_could_take_differently_are_refused() {
+    for length in ["", "-1", "+5", "5, 5", "5 5", "0x5", "1e3", "99999999999999999999", " "] {
+        assert_eq!(with(&format!("Content-Length: {length}")), Malformed::Length, "{length:?}");
+    }
+    assert_eq!(with("Content-Length: 5\r\nContent-Length: 5"), Malformed::Length);
+    assert_eq!(with("Content-Length: 5\r\nTransfer-Encoding: chunked"), Malformed::LengthAndCoding);
+    assert_eq!(with("Transfer-Encoding: chunked\r\ncontent-length: 5"), Malformed::LengthAndCoding);
+    for coding in ["gzip, chunked", "identity", "chunked, chunked", "xchunked", ""] {
+        assert_eq!(with(&format!("Transfer-Encoding: {coding}")), Malformed::Coding, "{coding:?}");
+    }
+    assert_eq!(with("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"), Malformed::Coding);
+    assert_eq!(refused("PUT /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"), Malformed::Coding);
+}
+
+#[test]
+fn nothing_behind_a_refused_head_is_read_as_a_request() {
+    let mut reader = Requests::new(LIMITS);
+    let hidden = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n\
+                  GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+    reader.bytes.extend_from_slice(hidden.as_bytes());
+    assert_eq!(reader.request(), Err(Malformed::LengthAndCoding));
+}
+
+#[test]
+fn heads_are_bounded_and_checked() {
+    assert_eq!(
+        refused(&format!("GET /{} HTTP/1.1\r\nHost: x\r\n\r\n", "a".repeat(1024))),
+        Malformed::HeadTooLong(1024)
+    );
+    assert_eq!(refused(&format!("GET /{}", "a".repeat(1024))), Malformed::HeadTooLong(1024));
+    assert_eq!(with(&"A: 1\r\n".repeat(80)), Malformed::HeadTooLong(1024));
+    assert_eq!(refused("GET /a HTTP/2.0\r\nHost: x\r\n\r\n"), Malformed::Version);
+    assert_eq!(refused("GET /a HTTP/1.1\r\n\r\n"), Malformed::Host);
+    assert_eq!(with("Host: y"), Malformed::Host);
+    assert!(matches!(with("Bad Name: 1"), Malformed::Head(_)));
+    assert!(matches!(with("Folded: 1\r\n 2"), Malformed::Head(_)));
+    assert!(matches!(refused("\u{1}\u{2}\u{3}"), Malformed::Head(_)));
+    assert_eq!(with("Content-Length: 513"), Malformed::BodyTooLong(512), "from the head alone");
+    assert_eq!(with("Content-Length: 60000000"), Malformed::BodyTooLong(512));
+}
+
+#[test]
+fn chunks_are_bounded_and_checked() {
+    let chunked = |chunks: &str| {
+        refused(&format!("PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"))
+    };
+    assert_eq!(chunked("zz\r\n"), Malformed::Chunk);
+    assert_eq!(chunked("3\r\nabcd\r\n"), Malformed::Chunk);
+    assert_eq!(chunked("fffffffffffffffff\r\n"), Malformed::Chunk);
+    assert_eq!(chunked(&format!("1;{}", "x".repeat(300))), Malformed::Chunk);
+    assert_eq!(
+        chunked(
+            &"80\r\n"
+                .to_string()
+                .chars()
+                .chain("a".repeat(128).chars())
+                .chain("\r\n".chars())
+                .collect::<String>()
+                .repeat(5)
+        ),
+        Malformed::BodyTooLong(512)
+    );
+    assert_eq!(chunked(&format!("0\r\n{}", "T: 1\r\n".repeat(1000))), Malformed::Chunk);
+}
+
+fn spoilt(answer: &str) -> Malformed {
+    answers(&[answer.as_bytes().to_vec()]).expect_err(answer)
+}
+
+#[test]
+fn answers_that_cannot_be_told_whole_are_refused() {
+    assert_eq!(spoilt("HTTP/1.1 200 OK\r\n\r\nuntil the end"), Malformed::NoLength);
+    assert_eq!(
+        spoilt("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"),
+        Malformed::Length
+    );
+    assert_eq!(
+        spoilt("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        Malformed::LengthAndCoding
+    );
+    assert_eq!(
+        spoilt(&format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{}", "a".repeat(513))),
+        Malformed::BodyTooLong(512)
+    );
+    assert_eq!(spoilt(&"HTTP/1.1 100 Continue\r\n\r\n".repeat(9)), Malformed::Interim);
+    assert_eq!(spoilt("HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"), Malformed::Interim);
+    assert_eq!(spoilt(&format!("HTTP/1.1 200 {}", "x".repeat(1024))), Malformed::HeadTooLong(1024));
+    assert!(matches!(spoilt("noise noise noise\r\n"), Malformed::Head(_) | Malformed::Version));
+}
+
+#[test]
+fn what_is_behind_an_answer_stays_in_sight() {
+    let mut reader = Answers::new(LIMITS);
+    reader.bytes.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nab");
+    assert!(reader.answer().expect("well formed").is_some());
+    assert_eq!(reader.bytes, BytesMut::from(&b"b"[..]));
+}
+
+#[test]
+fn a_client_that_waits_to_be_told_is_told_once() {
+    let mut reader = Requests::new(LIMITS);
+    reader.bytes.extend_from_slice(
+        b"PUT /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n",
+    );
+    assert_eq!(reader.request(), Ok(Next::Continue));
+    assert_eq!(reader.request(), Ok(Next::More));
+    reader.bytes.extend_from_slice(b"a");
+    assert!(matches!(reader.request(), Ok(Next::Request(request)) if &request.body[..] == b"a"));
+}
+
+#[test]
+fn what_is_written_reads_back() {
+    let bytes = client::request("PUT", "/a?b", "x:1", &[("X-Own", b"7")], b"body");
+    let read = requests(&[bytes.to_vec()]).expect("our own");
+    assert_eq!((&*read[0].target, &read[0].body[..]), ("/a?b", &b"body"[..]));
+    let bytes = server::answer(429, &[("Retry-After", b"0.110")], b"", true);
+    let read = answers(&[bytes.to_vec()]).expect("our own");
+    assert_eq!((read[0].head.status, read[0].head.persists), (429, false));
+    assert_eq!(read[0].head.headers.one("retry-after"), Ok(Some(&b"0.110"[..])));
+}
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -12,14 +12,19 @@
 const ONE_STORE: f64 = 0.5;
 /// A head against the largest body.
 const HEAD: f64 = 0.125;
+const MEGABYTE: f64 = 1024.0 * 1024.0;
 /// What is read ahead of a request that waits for its answer, against the largest body.
 const AHEAD: f64 = 0.25;
+/// Parts of the memory for one answer of a store, and for what all answers hold beyond the largest body that the
+/// platform tells of. Danger: stores do send more, and may say that there is more than any memory holds.
+const ANSWER: f64 = 1.0 / 32.0;
+const ANSWERS: f64 = 0.25;
 /// Against the longest op timeout: the time for the first whole request of a connection, for the rest of a later one
-/// and for an answer to be taken; how long new connections are served after SIGTERM; how long what is still sent by a
-/// client that was refused is passed over.
+/// and for an answer to be taken; how long what is still sent by a client that was refused is passed over.
 const SPEAK: f64 = 1.0 / 3.0;
-const LEAVING: f64 = 0.1;
 const LINGER: f64 = 1.0 / 6.0;
+/// How long new connections are served after SIGTERM, against how long clients may still come.
+const LEAVING: f64 = 1.25;
 /// Parts of the idle time in the settings after which connections to stores and of clients are closed.
 const STORE_IDLE: f64 = 0.5;
 const CLIENT_IDLE: f64 = 0.5;
@@ -27,6 +32,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     pub http: Limits,
+    /// Of stores' answers.
+    pub answer: Limits,
+    pub answers: usize,
     pub ahead: usize,
     pub clients: usize,
     pub stores: usize,
@@ -54,9 +62,13 @@
         let timeouts = timeouts.map(|name| span(name)).collect::<Result<Vec<_>, _>>()?;
         let longest = timeouts.into_iter().max().ok_or("settings: op_types.count is missing")?;
         let idle = span("limits.conn_idle")?;
+        let memory = (config.limits.memory_mb * MEGABYTE) as usize;
+        let head = part(words::BODY, HEAD);
         let stores = part(config.limits.sockets, STORES);
         Ok(Bounds {
-            http: Limits { head: part(words::BODY, HEAD), body: words::BODY },
+            http: Limits { head, body: words::BODY },
+            answer: Limits { head, body: part(memory, ANSWER).max(words::BODY) },
+            answers: part(memory, ANSWERS),
             ahead: part(words::BODY, AHEAD),
             clients: part(config.limits.sockets, CLIENTS),
             stores,
@@ -65,7 +77,7 @@
             store_idle: idle.mul_f64(STORE_IDLE),
             client_idle: idle.mul_f64(CLIENT_IDLE),
             speak: longest.mul_f64(SPEAK),
-            leaving: longest.mul_f64(LEAVING),
+            leaving: words::CLIENTS_STILL_COME.mul_f64(LEAVING),
             linger: longest.mul_f64(LINGER),
             longest,
         })
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -3,6 +3,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,6 +46,8 @@
     pub bounds: Bounds,
     pub pools: Pools,
     pub guests: Guests,
+    /// Bytes that large answers hold.
+    pub held: Arc<AtomicUsize>,
     /// The module asks to be told of changes, or for the whole list.
     pub subscribe: Notify,
     pub fetch: Notify,
@@ -63,6 +67,7 @@
             bounds,
             pools: Pools::new(bounds),
             guests: Guests::default(),
+            held: Arc::default(),
             subscribe: Notify::new(),
             fetch: Notify::new(),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,7 +48,8 @@
 }
 
 /// Runs one gateway until SIGTERM or SIGINT; to be awaited inside a `LocalSet`.
-pub async fn run(file: PathBuf) -> Result<(), NodeError> {
+/// `listening` is told the address once it listens.
+pub async fn run(file: PathBuf, listening: impl FnOnce(SocketAddr)) -> Result<(), NodeError> {
     let config = read(&file)?;
     let clock = Clock::start();
     let core = Core::start(&config, clock.now()).map_err(NodeError::Settings)?;
@@ -58,13 +59,15 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
     let listen = |error| NodeError::Listen { address: config.listen, error };
     let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
+    let address = listener.local_addr().map_err(listen)?;
     let hub = Rc::new(Hub::new(core, clock, bounds));
-    let (to_watch, address) = watched::channel(config.discovery);
+    let (to_watch, discovery) = watched::channel(config.discovery);
     let asked = config.settings.get("discovery").is_some_and(|word| word == "asked");
-    tokio::task::spawn_local(watch::follow(hub.clone(), address, config.known.version, config.seed, asked));
+    tokio::task::spawn_local(watch::follow(hub.clone(), discovery, config.known.version, config.seed, asked));
     tokio::task::spawn_local(store::tidy(hub.clone()));
     tokio::task::spawn_local(client::accept(hub.clone(), listener));
-    tracing::info!(name = config.name, listen = %config.listen, discovery = %config.discovery, "serving");
+    tracing::info!(name = config.name, listen = %address, discovery = %config.discovery, "serving");
+    listening(address);
     let mut settings = config.settings;
     let mut turns = tokio::task::spawn_local(hub::run(hub.clone()));
     loop {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -201,7 +203,8 @@
 }
 
 async fn answer(hub: &Rc<Hub>, mut link: Link<'_>) -> (Returned, Duration) {
-    let mut answers = Answers::new(hub.bounds.http);
+    let mut answers = Answers::new(hub.bounds.answer);
+    let mut room = Room::new(hub);
     let Some(stream) = &mut link.stream else { return (Returned::NeverWritten, hub.clock.now()) };
     loop {
         answers.bytes.reserve(hub.bounds.http.head);
@@ -210,9 +213,15 @@
         if !matches!(read, Ok(1..)) {
             return (Returned::Broken, at);
         }
-        match answers.answer() {
+        let read = answers.answer();
+        if !room.holds(answers.size()) {
+            tracing::warn!(store = link.store.0, size = answers.size(), "no room for an answer");
+            return (Returned::Broken, at);
+        }
+        match read {
             Ok(None) => {}
-            Ok(Some(answer)) => {
+            Ok(Some(mut answer)) => {
+                answer.body = room.keeping(answer.body);
                 // Danger: what came behind the answer belongs to no request; the next would be answered with it.
                 if answer.head.persists && answers.bytes.is_empty() {
                     hub.pools.put_back(link);
@@ -227,6 +236,52 @@
     }
 }
 
+/// Room for one answer in what all may hold; given back when the last of its bytes is let go.
+struct Room {
+    held: Arc<AtomicUsize>,
+    most: usize,
+    taken: usize,
+}
+
+impl Room {
+    fn new(hub: &Rc<Hub>) -> Room {
+        Room { held: hub.held.clone(), most: hub.bounds.answers, taken: 0 }
+    }
+
+    /// There is room for so many bytes. Those that any answer may have need none.
+    fn holds(&mut self, size: usize) -> bool {
+        let more = size.saturating_sub(words::BODY).saturating_sub(self.taken);
+        let held = self.held.load(Relaxed).saturating_add(more);
+        let fits = more == 0 || held <= self.most;
+        if fits {
+            self.taken += more;
+            self.held.store(held, Relaxed);
+        }
+        fits
+    }
+
+    fn keeping(self, body: Bytes) -> Bytes {
+        if self.taken == 0 { body } else { Bytes::from_owner(Kept { body, _room: self }) }
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.taken, Relaxed);
+    }
+}
+
+struct Kept {
+    body: Bytes,
+    _room: Room,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// Asks a store for its load.
 pub async fn probe(hub: &Rc<Hub>, store: StoreId, address: SocketAddr) -> Returned {
     let written = Cell::new(false);
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -47,7 +47,9 @@
 impl std::fmt::Display for Returned {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Returned::Answer(answer) => write!(f, "answered {}", answer.head.status),
+            Returned::Answer(client::Answer { head, body }) => {
+                write!(f, "answered {} with {} bytes", head.status, body.len())
+            }
             Returned::NeverWritten => write!(f, "never written"),
             Returned::Broken => write!(f, "broken"),
             Returned::TimedOut => write!(f, "timed out"),
@@ -455,6 +457,9 @@
         let left_at = self.stores.get(&store).and_then(|known| known.left_at).or(Some(self.now));
         let left_at = left_at.filter(|_| state != StoreState::Ready);
         self.stores.insert(store, Store { uid, address, state, left_at });
+        if state == StoreState::Gone {
+            self.deeds.push(Deed::Drop { store });
+        }
         let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(self.zones.len());
         Listing { store, shard: entry.shard, zone: zone as u32, started: entry.started, state }
     }
--- a/crates/platform/src/words.rs
+++ b/crates/platform/src/words.rs
@@ -30,6 +30,9 @@
 /// How often a watch shows a sign of life.
 pub const SIGN_OF_LIFE: std::time::Duration = std::time::Duration::from_secs(2);
 
+/// After SIGTERM clients go on coming for so long at most.
+pub const CLIENTS_STILL_COME: std::time::Duration = std::time::Duration::from_millis(400);
+
 /// Where changes after a version of the list are told as they come.
 pub fn watch(after: u64) -> String {
     format!("{STORES}?watch=1&after={after}")
--- /dev/null
+++ b/crates/platform/tests/core.rs
@@ -0,0 +1,433 @@
+//! The core in virtual time: requests to ops, answers to outcomes, and one final answer for each way an op can end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use umbertray_http::client::Answers;
+use umbertray_http::server::{Next, Request, Requests};
+use umbertray_http::{Limits, client};
+use umbertray_platform::list::{Line, Lines, List};
+use umbertray_platform::{Call, ClientId, Config, Core, Deed, Input, Refused, Reply, Returned};
+
+const LIMITS: Limits = Limits { head: 8192, body: 65536 };
+const START: Duration = Duration::from_secs(1_700_000_000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(uid: &str, shard: u32, state: &str, boot_ms: u64) -> String {
+    let port = 7000 + uid.bytes().map(u16::from).sum::<u16>();
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"127.0.0.1:{port}","az":"b","model":"m","pod_group":{shard},"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#
+    )
+}
+
+fn list(rev: u64, all: bool, entries: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, entries.join(","))
+}
+
+const SETTINGS: &str = r#"{"discovery":"automatic","failureDomains":["a","b"],"groupSize":2,
+    "familyInfo":{"coldUnits":4.0,"maxUnits":6,"meanUnits":2.0,"slotsTotal":2,"writes":[false,true]},
+    "limits":{"connIdleS":20.0,"dialTimeoutS":0.2,"maxAttempts":3,"maxRetryAfterS":1.0},
+    "profiles":[
+      {"name":"look","promiseS":0.2,"deadlineS":1.0,"effect":"free","gain":3.0},
+      {"name":"order","promiseS":0.2,"deadlineS":1.0,"effect":"single_shot","gain":2.0}],
+    "contracts":[{"name":"basic","rate":5.0,"weight":1.0},{"name":"more","rate":9.0,"weight":2.0}],
+    "rules":{"coldFrom":0.5,"coldS":4.0,"drainGraceS":1.0,"fallS":1.0,"tipMultiple":2.0},
+    "telemetry":{"fields":["queue","util"],"via":"answers"},"tickS":0.002}"#;
+
+fn config(settings: &str, known: &str) -> String {
+    format!(
+        r#"{{"name":"g","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"00000000000000ff",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+struct World {
+    core: Core,
+    now: Duration,
+    clients: u64,
+}
+
+impl World {
+    fn new() -> World {
+        let known = list(1, true, &[entry("s0", 0, "ready", 0), entry("s1", 1, "ready", 0)]);
+        let config = Config::read(&config(SETTINGS, &known)).expect("a whole configuration");
+        let mut world =
+            World { core: Core::start(&config, START).expect("it starts"), now: START, clients: 0 };
+        world.tell(vec![]);
+        world
+    }
+
+    fn tell(&mut self, inputs: Vec<Input>) -> Vec<Deed> {
+        let deeds = self.core.handle(self.now, inputs);
+        assert!(!deeds.iter().any(|deed| matches!(deed, Deed::Fatal(_))), "{deeds:?}");
+        deeds
+    }
+
+    /// Time passes as on a clock that wakes the core when it asked for it.
+    fn pass(&mut self, span: Duration) -> Vec<Deed> {
+        let (end, mut deeds) = (self.now + span, Vec::new());
+        while let Some(at) = self.core.wake().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            deeds.extend(self.tell(vec![Input::Woken]));
+        }
+        self.now = end;
+        deeds
+    }
+
+    fn ask(&mut self, request: &Request) -> (ClientId, Vec<Deed>) {
+        let ask = self.core.check(request).expect("a request that is an op");
+        self.clients += 1;
+        let client = ClientId(self.clients);
+        let deeds = self.tell(vec![Input::Ask { client, ask, begun: self.now }]);
+        (client, deeds)
+    }
+
+    fn returned(&mut self, call: Call, returned: Returned) -> Vec<Deed> {
+        self.tell(vec![Input::Returned { call, returned, at: self.now }])
+    }
+}
+
+fn request(method: &str, target: &str, fields: &[(&str, &str)], body: &str) -> Request {
+    let mut reader = Requests::new(LIMITS);
+    let fields: Vec<_> = fields.iter().map(|(name, value)| (*name, value.as_bytes())).collect();
+    reader.bytes.extend_from_slice(&client::request(method, target, "x", &fields, body.as_bytes()));
+    match reader.request() {
+        Ok(Next::Request(request)) => request,
+        other => panic!("{other:?}"),
+    }
+}
+
+const TARGET: &str = "/look/00000000000000aa/00000000000000bb";
+
+fn fields<'a>(id: &'a str, placement: &'a str) -> [(&'a str, &'a str); 4] {
+    [
+        ("X-Correlation-Id", id),
+        ("X-Qos-Policy", "more"),
+        ("X-Time-Left-Ms", "800"),
+        ("X-Placement", placement),
+    ]
+}
+
+fn look(n: u64) -> Request {
+    request("GET", TARGET, &fields(&format!("{n:016x}"), "units=2,shard=0,hosts=2"), "")
+}
+
+fn order(n: u64) -> Request {
+    let target = "/order/00000000000000aa/00000000000000bb";
+    request("PUT", target, &fields(&format!("{n:016x}"), "units=2,shard=0,hosts=2"), "data")
+}
+
+fn answer(text: &str) -> Returned {
+    let mut reader = Answers::new(LIMITS);
+    reader.bytes.extend_from_slice(text.as_bytes());
+    Returned::Answer(reader.answer().expect("well formed").expect("whole"))
+}
+
+fn ok() -> Returned {
+    answer(
+        "HTTP/1.1 200 OK\r\nContent-Type: own/kind\r\nX-Rho: noise\r\nX-Backend-Load: queue=x,util=0.5,\r\nContent-Length: 4\r\n\r\nbody",
+    )
+}
+
+fn sent(deeds: &[Deed]) -> Vec<(Call, SocketAddr)> {
+    let send = |deed: &Deed| match deed {
+        Deed::Send { call, address, .. } => Some((*call, *address)),
+        _ => None,
+    };
+    deeds.iter().filter_map(send).collect()
+}
+
+fn answers(deeds: &[Deed]) -> Vec<(ClientId, Reply)> {
+    let answer = |deed: &Deed| match deed {
+        Deed::Answer { client, reply } => Some((*client, reply.clone())),
+        _ => None,
+    };
+    deeds.iter().filter_map(answer).collect()
+}
+
+fn refusal(request: &Request) -> Refused {
+    World::new().core.check(request).expect_err("no op")
+}
+
+#[test]
+fn settings_in_both_forms_make_the_same_map() {
+    let nested = r#"{"discovery":"subscribe","failureDomains":["hall a","b,c"],"groupSize":3,
+        "profiles":[{"name":"x y","promiseS":0.25,"effect":"guarded","stream":false}],
+        "familyInfo":{"writes":[false,true],"meanUnits":2.0},"rules":{"askWithinS":10.0}}"#;
+    let lines = "discovery=subscribe\nfailureDomains=hall_a,b_c\ngroupSize=3\nprofiles.count=1\nprofiles.0.name=x_y\n\
+        profiles.0.promiseS=0.25\nprofiles.0.effect=guarded\nprofiles.0.stream=false\nfamilyInfo.writes=false,true\n\
+        familyInfo.meanUnits=2.0\nrules.askWithinS=10.0";
+    let config = Config::read(&config(nested, &list(0, true, &[]))).expect("a whole configuration");
+    assert_eq!(config.settings, umbertray_names::of_lines(lines));
+    assert_eq!(config.settings["op_types.0.repeats"], "deduplicated");
+}
+
+#[test]
+fn what_is_missing_or_unreadable_is_named() {
+    let whole = config(SETTINGS, &list(1, true, &[]));
+    let said = |from: &str, to: &str| match Config::read(&whole.replace(from, to)) {
+        Ok(config) => Core::start(&config, START).err().expect("it must not start"),
+        Err(error) => error.to_string(),
+    };
+    assert!(said(r#""seed":"#, r#""sead":"#).contains("`seed`"));
+    assert!(said("00000000000000ff", "xyz").starts_with("seed: "));
+    assert!(said("127.0.0.1:1", "nowhere").starts_with("listen: "));
+    assert!(said("127.0.0.1:2", "").starts_with("discovery: "));
+    assert!(said(r#""sockets":256"#, r#""sockets":0"#).starts_with("limits: "));
+    assert!(said(r#""rev":1"#, r#""rev":-1"#).starts_with("known: "));
+    assert!(said(r#""deadlineS":1.0"#, r#""deadlineS":"x""#).contains("op_types.0.op_timeout"));
+    assert!(said(r#""name":"basic","#, "").contains("plans.0.name"));
+    assert!(said("{\"name\"", "{name").contains("line 1, column 2"));
+}
+
+#[test]
+fn a_request_is_read_strictly() {
+    let good = fields("00000000000000ab", "units=2,shard=0,hosts=2");
+    let status = |method, target, fields: &[(&str, &str)], body| {
+        refusal(&request(method, target, fields, body)).status
+    };
+    for target in [
+        "/look",
+        "/look/00000000000000aa",
+        "/look/00000000000000aa/00000000000000bb/",
+        "look/00000000000000aa/00000000000000bb",
+        "/other/00000000000000aa/00000000000000bb",
+        "/look/00000000000000a/00000000000000bb",
+        "/look/+0000000000000aa/00000000000000bb",
+        "/look/00000000000000aa/0000000000000xbb",
+        "//00000000000000aa/00000000000000bb",
+        "*",
+        "http://x/look/00000000000000aa/00000000000000bb",
+    ] {
+        assert_eq!(status("GET", target, &good, ""), 404, "{target}");
+    }
+    assert_eq!(status("POST", TARGET, &good, ""), 405);
+    assert_eq!(status("GET", TARGET, &good, "a body"), 400);
+    for missing in 0..4 {
+        let rest: Vec<_> =
+            good.iter().enumerate().filter(|(i, _)| *i != missing).map(|(_, field)| *field).collect();
+        assert_eq!(status("GET", TARGET, &rest, ""), 400, "without {}", good[missing].0);
+        let doubled: Vec<_> = good.iter().chain([&good[missing]]).copied().collect();
+        assert_eq!(status("GET", TARGET, &doubled, ""), 400, "{} twice", good[missing].0);
+    }
+    let wrong = |name: &str, value: &str| {
+        let fields = good.map(|(own, text)| (own, if own == name { value } else { text }));
+        assert_eq!(status("GET", TARGET, &fields, ""), 400, "{name}: {value}");
+    };
+    ["", "xyz", "00000000000000a", "00000000000000abc"].iter().for_each(|id| wrong("X-Correlation-Id", id));
+    ["", "none", "More"].iter().for_each(|plan| wrong("X-Qos-Policy", plan));
+    ["", "soon", "-5", "1.5", "0", "1e3", "99999999999999999999999"]
+        .iter()
+        .for_each(|left| wrong("X-Time-Left-Ms", left));
+    for placement in [
+        "",
+        "units=2",
+        "units=0,shard=0,hosts=1",
+        "units=-1,shard=0,hosts=1",
+        "units=nan,shard=0,hosts=1",
+        "units=7,shard=0,hosts=1",
+        "units=1,shard=2,hosts=1",
+        "units=1,shard=-2,hosts=1",
+        "units=1,shard=x,hosts=1",
+        "units=1,shard=0,hosts=0",
+        "units=1,shard=0,hosts=inf",
+    ] {
+        wrong("X-Placement", placement);
+    }
+}
+
+#[test]
+fn an_id_is_of_one_open_request_at_a_time() {
+    let mut world = World::new();
+    let (_, deeds) = world.ask(&look(7));
+    assert_eq!(world.core.check(&look(7)).expect_err("an open one has it").status, 409);
+    world.returned(sent(&deeds)[0].0, ok());
+    assert!(world.core.check(&look(7)).is_ok());
+}
+
+#[test]
+fn a_store_gets_what_was_checked_and_a_client_gets_the_stores_body() {
+    let mut world = World::new();
+    let target = "/order/00000000000000aa/00000000000000bb?x=1&y";
+    let mut told = fields("00000000000000AB", "units=2,shard=1,hosts=2").to_vec();
+    told.push(("X-Repeat", "1"));
+    let (client, deeds) = world.ask(&request("PUT", target, &told, "data"));
+    let [(call, address)] = sent(&deeds)[..] else { panic!("{deeds:?}") };
+    assert_eq!(address.port(), 7000 + u16::from(b's') + u16::from(b'1'));
+    let bytes = world.core.begin(call, world.now + ms(100)).expect("still wanted");
+    let mut reader = Requests::new(LIMITS);
+    reader.bytes.extend_from_slice(&bytes);
+    let Ok(Next::Request(seen)) = reader.request() else { panic!("our own request is read") };
+    assert_eq!((&*seen.method, &*seen.target, &seen.body[..]), ("PUT", target, &b"data"[..]));
+    assert_eq!(seen.headers.one("X-Correlation-Id"), Ok(Some(&b"00000000000000AB"[..])));
+    let left =
+        std::str::from_utf8(seen.headers.one("X-Time-Left-Ms").expect("once").expect("told")).expect("text");
+    assert!((500..=700).contains(&left.parse::<u64>().expect("a number")), "what is left: {left}");
+    assert!(seen.headers.all("X-Repeat").next().is_none() && reader.bytes.is_empty());
+    let deeds = world.returned(call, ok());
+    let acked =
+        Reply::Acked { kind: Some(Bytes::from_static(b"own/kind")), body: Bytes::from_static(b"body") };
+    assert_eq!(answers(&deeds), [(client, acked)]);
+    assert_eq!(world.core.open(), 0);
+}
+
+/// For each way a dispatch can come back: whether an op that may run again is sent again, and what a once-only gets.
+#[test]
+fn outcomes_tell_apart_what_never_ran_from_what_may_have() {
+    let full = || answer("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+    let over = || answer("HTTP/1.1 504 Over\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+    let busy = || answer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    let failed = || answer("HTTP/1.1 500 Oh\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+    type Make<'a> = &'a dyn Fn() -> Returned;
+    let cases: [(&str, Make, bool); 8] = [
+        ("full", &full, false),
+        ("over", &over, false),
+        ("never written", &|| Returned::NeverWritten, false),
+        ("busy, but not told unrun", &busy, true),
+        ("failed", &failed, true),
+        ("broken", &|| Returned::Broken, true),
+        ("timed out", &|| Returned::TimedOut, true),
+        ("cancelled", &|| Returned::Cancelled, true),
+    ];
+    for (name, returned, may_have_run) in cases {
+        let mut world = World::new();
+        let (client, deeds) = world.ask(&order(1));
+        let (mut all, mut calls) = (Vec::new(), sent(&deeds));
+        let mut again = 0;
+        while let Some((call, _)) = calls.pop() {
+            let mut back = world.returned(call, returned());
+            back.extend(world.pass(ms(100)));
+            calls.extend(sent(&back));
+            again += sent(&back).len();
+            all.extend(back);
+        }
+        all.extend(world.pass(ms(900)));
+        let ends: Vec<_> = answers(&all).into_iter().filter(|(own, _)| *own == client).collect();
+        assert_eq!(ends.len(), 1, "{name}: one final answer, {ends:?}");
+        if may_have_run {
+            assert_eq!(
+                (again, &ends[0].1),
+                (0, &Reply::Aborted),
+                "{name}: not again, and no word that it is harmless"
+            );
+        } else {
+            assert!(matches!(ends[0].1, Reply::Throttled { .. }), "{name}: {:?}", ends[0].1);
+        }
+        assert_eq!(world.core.open(), 0, "{name}");
+    }
+}
+
+#[test]
+fn an_op_that_nothing_comes_back_for_is_answered_in_its_time() {
+    let mut world = World::new();
+    let (client, _) = world.ask(&look(1));
+    let early = world.pass(ms(700));
+    assert!(answers(&early).is_empty());
+    let ends = answers(&world.pass(ms(100)));
+    assert!(matches!(&ends[..], [(own, Reply::Throttled { .. })] if *own == client), "{ends:?}");
+}
+
+#[test]
+fn a_late_return_ends_the_record_and_says_nothing() {
+    let mut world = World::new();
+    let (_, deeds) = world.ask(&look(1));
+    world.pass(ms(900));
+    let call = sent(&deeds)[0].0;
+    assert_eq!(world.core.begin(call, world.now), None, "rule 1: nothing after the final answer");
+    let deeds = world.returned(call, ok());
+    assert!(answers(&deeds).is_empty() && sent(&deeds).is_empty());
+    assert!(world.returned(call, ok()).is_empty(), "forgotten");
+}
+
+#[test]
+fn a_client_that_left_gets_nothing_and_its_dispatch_does_not_begin() {
+    let mut world = World::new();
+    let (client, deeds) = world.ask(&look(1));
+    world.tell(vec![Input::Left(client)]);
+    let call = sent(&deeds)[0].0;
+    assert_eq!(world.core.begin(call, world.now), None);
+    assert!(answers(&world.returned(call, Returned::NeverWritten)).is_empty());
+    assert!(world.core.check(&look(1)).is_ok(), "its id is free");
+}
+
+#[test]
+fn a_dispatch_that_waited_does_not_begin_at_a_store_that_is_left() {
+    let mut world = World::new();
+    let read = |text: String| List::read(text.as_bytes()).expect("a list");
+    let (_, first) = world.ask(&look(1));
+    let first = sent(&first)[0].0;
+    world.tell(vec![Input::List(read(list(2, false, &[entry("s0", 0, "draining", 0)])))]);
+    assert!(world.core.begin(first, world.now + ms(500)).is_some(), "rule 3: within the grace");
+    assert_eq!(world.core.begin(first, world.now + ms(1000)), None, "rule 3: beyond the grace");
+    world.tell(vec![Input::List(read(list(3, true, &[entry("s1", 1, "ready", 0)])))]);
+    assert_eq!(world.core.begin(first, world.now), None, "rule 3: gone from the whole list");
+}
+
+#[test]
+fn a_start_on_the_list_is_a_start_on_the_modules_clock() {
+    let mut world = World::new();
+    world.pass(ms(2000));
+    let started = (world.now - ms(500)).as_millis() as u64;
+    let entries = [entry("s0", 0, "gone", 0), entry("s2", 0, "ready", started)];
+    world.tell(vec![Input::List(List::read(list(2, false, &entries).as_bytes()).expect("a list"))]);
+    // Cold: it takes an even part of what it always bears, not all at once.
+    let mut deeds = Vec::new();
+    for n in 0..12 {
+        deeds.extend(world.ask(&look(n)).1);
+    }
+    deeds.extend(world.pass(ms(150)));
+    let told = sent(&deeds).len();
+    assert!((1..=2).contains(&told), "a store that has just started is spared: {told}");
+}
+
+#[test]
+fn settings_that_change_are_taken_and_wrong_ones_are_not() {
+    let mut world = World::new();
+    let read =
+        |text: &str| Config::read(&config(text, &list(1, true, &[]))).expect("a configuration").settings;
+    world.tell(vec![Input::Changed(read(&SETTINGS.replace(r#""name":"more""#, r#""name":"other""#)))]);
+    assert_eq!(world.core.check(&look(1)).expect_err("the plan has another name").status, 400);
+    let deeds = world.tell(vec![Input::Changed(read(&SETTINGS.replace("profiles", "nothing")))]);
+    assert!(matches!(&deeds[..], [Deed::Log(text)] if text.contains("op_types.count")), "{deeds:?}");
+    assert_eq!(world.core.check(&look(1)).expect_err("the former hold").status, 400);
+}
+
+#[test]
+fn lists_are_read_however_they_are_cut_and_their_faults_are_placed() {
+    let text = format!(
+        "{}\n\n{}\r\n",
+        list(4, true, &[entry("s0", 0, "ready", 5)]),
+        list(5, false, &[entry("s0", 0, "gone", 5)])
+    );
+    for step in [1, 7, 1000] {
+        let (mut lines, mut read) = (Lines::default(), Vec::new());
+        for part in text.as_bytes().chunks(step) {
+            lines.bytes.extend_from_slice(part);
+            while let Some(line) = lines.line().expect("well formed") {
+                read.push(line);
+            }
+        }
+        let versions = read.iter().map(|line| match line {
+            Line::Alive => 0,
+            Line::List(list) => list.version,
+        });
+        assert_eq!(versions.collect::<Vec<_>>(), [4, 0, 5]);
+    }
+    let wrong = |text: &str| List::read(text.as_bytes()).expect_err("not a list").to_string();
+    assert!(
+        wrong(&list(9, true, &[entry("s7", 0, "asleep", 0)]))
+            .contains("version 9, entry s7: state \"asleep\"")
+    );
+    assert!(
+        wrong(&list(9, true, &[entry("s7", 0, "ready", 0).replace("127.0.0.1", "x")]))
+            .contains("entry s7: endpoint")
+    );
+    assert!(wrong("{\"rev\":1").contains("line 1"));
+    let mut endless = Lines::default();
+    endless.bytes.extend_from_slice(&vec![b'a'; (1 << 20) + 1]);
+    assert!(endless.line().is_err());
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod list;
 pub mod medium;
 pub mod model;
+pub mod platform;
 pub mod store;
 
 pub use book::{Book, Entry};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,7 +2,6 @@
 //!
 //! Callers build one [`Gateway`] an instance and feed [`Gateway::handle`] all that happened at one moment, a
 //! `Start` first; it returns what is to be done, in order. Events and actions are in [`crate::interface`].
-//! There is no clock, wire or shared state here; chance comes from the seed and a counter.
 //!
 //! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count and a quantum,
 //! the next goes to the smallest tag, a cap bounds the units out. Departures are explained in docs/design.md.
@@ -27,7 +26,7 @@
 /// The least cap, and the latency against the shortest target latency at which it is steered below an op.
 const LEAST_CAP: f64 = 0.015625;
 const LATE: f64 = 0.6;
-/// The answer latency that the cap steers for, against the shortest target latency, and its step an answer.
+/// The answer latency that the cap steers for, against the shortest target latency; its step an answer.
 const STEER: f64 = 0.35;
 const STEP: f64 = 0.03;
 /// Up to so much of that latency, and as much again as its part, an op that yields may go to an idle store.
@@ -150,6 +149,8 @@
     shortest: Duration,
     /// When the newest dispatch that it has answered was sent.
     overtaken_to: Duration,
+    /// An answer never came while later ones did: connections to it hang.
+    loses: bool,
     /// When it was last sent an op, and when this gateway last heard that it is back.
     sent_at: Duration,
     back_at: Duration,
@@ -166,6 +167,17 @@
     fn goal(&self) -> f64 {
         self.shortest.as_secs_f64() * STEER
     }
+    fn patience(&self) -> Duration {
+        self.shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(self.latency * SILENCE.1))
+    }
+    /// Departure: one long overdue that later ones overtook hangs by its connection, not its store; so may any
+    /// at a store that loses answers. It must not hold up the rotation or fill the cap.
+    fn hangs(&self, sent: Duration, now: Duration) -> bool {
+        (sent < self.overtaken_to || self.loses) && sent + self.patience() < now
+    }
+    fn count_out(&mut self, now: Duration) {
+        self.units_out = self.out.values().filter(|(sent, _)| !self.hangs(*sent, now)).map(|(_, u)| u).sum();
+    }
 }
 
 /// The ops of one key in the order they were taken.
@@ -181,8 +193,7 @@
     /// Rule 7: what is left of this gateway's part of the plan's limit. It starts empty, since an earlier run
     /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
     allowance: f64,
-    /// What is not drawn of it, and until when, by the last promises: the last but one counts until it runs
-    /// out, since a crash may come before the last is on the disk.
+    /// What stays undrawn, and until when, by the last two promises: a crash may come before one is kept.
     floors: [(f64, Duration); 2],
     /// Units a second lately sent from here or told as served elsewhere, and the whole as stores told it.
     rate: f64,
@@ -381,7 +392,6 @@
         match event {
             Event::List(news) => self.listed(news),
             Event::Arrived(op) => self.arrived(op),
-            // The client has its answer: neither time-out nor final answer is due any more.
             Event::StreamBegan { op } => _ = self.ops.get_mut(&op).map(|taken| taken.end_at = Duration::MAX),
             Event::Answered(answer) => self.answered(&answer),
             Event::ClientLeft { op } => self.part(op),
@@ -571,9 +581,7 @@
         if to.is_some() && to == taken.held_at {
             return;
         }
-        if let Some(from) = taken.held_at.take() {
-            self.unhold(id, from, volume);
-        }
+        _ = taken.held_at.take().map(|from| self.unhold(id, from, volume));
         let Some(to) = to else { return self.settle(id) };
         self.ops.get_mut(&id).expect("a held op is known").held_at = Some(to);
         let store = self.stores.get_mut(&to).expect("a home is known");
@@ -605,10 +613,8 @@
     /// that one's ranking is the volume's, by hashing; of two with one shard the older one is first.
     fn home(&self, taken: &Taken) -> Option<StoreId> {
         let of_shard = |store: &Store| taken.op.shard.is_none_or(|shard| store.listing.shard == shard);
-        let rank = |store: &Store| match taken.op.shard {
-            Some(_) => (store.listing.started, 0),
-            None => (None, hashed((taken.op.volume_name, store.listing.shard))),
-        };
+        let of_volume = |store: &Store| hashed((taken.op.volume_name, store.listing.shard));
+        let rank = |s: &Store| taken.op.shard.map_or((None, of_volume(s)), |_| (s.listing.started, 0));
         let rounds = |store: &Store| {
             if store.doubt.is_some() || self.warmth(&store.listing).is_some() {
                 return u64::MAX;
@@ -670,10 +676,9 @@
         (age < whole).then(|| from + (1.0 - from) * age / whole)
     }
 
-    /// Rule 4: a cold store may be sent this op now, within an even part for each gateway of what it always
-    /// bears. Nothing in the first span after this gateway's start: what an earlier run sent still counts.
-    /// Departure: where many gateways leave less than an op each, a volume's ops also go spaced by `pace`,
-    /// the first at a random time within it, or all gateways would meet the store at once.
+    /// Rule 4: a cold store gets an even part for each gateway of what it always bears, and nothing within a
+    /// span of this gateway's start, as what an earlier run sent counts. Departure: where many gateways leave
+    /// less than an op each, a volume's ops also go spaced by `pace`, the first at a random time within it.
     fn bears(&self, store: &Store, op: &Op, warmth: f64) -> bool {
         let window = self.setting_span("rules.fall_time");
         let recent = store.spent.iter().filter(|(at, _)| *at + window >= self.now);
@@ -688,9 +693,8 @@
         self.now >= self.started + window && (op.units + spent <= even || paced)
     }
 
-    /// How long a volume waits after an op like this to a cold store, so that all its gateways together send
-    /// no more than the plan's rate times warmth and a part of the rule's multiple. A store's volumes are
-    /// sized for what it can do when warm; the rest of the multiple is for chance and for a slower store.
+    /// How long a volume waits after an op like this to a cold store: its gateways together send the plan's
+    /// rate times warmth and a part of the rule's multiple. The rest is for chance and slower stores.
     fn pace(&self, op: &Op, warmth: f64) -> Option<Duration> {
         let part = self.setting("rules.fall_multiple", 0.0) * COLD_PART * warmth;
         let wait = op.units * op.gateways.max(1.0) / (self.plans[op.plan].rate * part);
@@ -746,9 +750,8 @@
         run.or_else(|| able().find(|(id, _)| may_go(id))).map(|(id, _)| *id)
     }
 
-    /// Departure: under load a part of the cap stays free. An op goes only into as much of it as its utility
-    /// is of the best and as its volume's due is of its rate, so that gateways yield to volumes with more due
-    /// that they cannot see.
+    /// Departure: an op goes only into as much of the cap as its utility is of the best, and as its volume's
+    /// due is of its rate, so that gateways yield to volumes with more due that they cannot see.
     fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
         let volume = &self.volumes[&taken.op.volume];
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
@@ -776,7 +779,8 @@
                 return fits(&op).then_some(op);
             }
             // Departure: a hung store must not freeze the rotation until a time-out.
-            if store.doubt.is_none() && store.volumes[volume].out > 0 {
+            let mut out = store.out.iter().filter(|((op, _), _)| self.ops[op].op.volume == *volume);
+            if store.doubt.is_none() && out.any(|(_, (sent, _))| !store.hangs(*sent, self.now)) {
                 return None;
             }
         }
@@ -809,7 +813,7 @@
         self.unhold(id, to, op.volume);
         let store = self.stores.get_mut(&to).expect("a picked store is known");
         store.out.insert((id, number), (self.now, op.units));
-        store.units_out = store.out.values().map(|(_, units)| units).sum();
+        store.count_out(self.now);
         store.spent.push((self.now, op.units));
         store.sent_at = self.now;
         store.last_key = op.key;
@@ -819,9 +823,7 @@
         share.seen = self.now;
         share.tag += op.units / self.plans[op.plan].weight;
         share.paced_to = self.now + pace.unwrap_or_default();
-        if let Some(turn) = &mut store.turn {
-            turn.count -= 1.0;
-        }
+        _ = store.turn.as_mut().map(|turn| turn.count -= 1.0);
         self.actions.push(Action::Dispatch { op: id, store: to, timeout });
     }
 
@@ -852,7 +854,7 @@
         }
         if let Some(store) = self.stores.get_mut(&place) {
             store.out.remove(&(answer.op, answer.dispatch));
-            store.units_out = store.out.values().map(|(_, units)| units).sum();
+            store.count_out(now);
             if let Some(share) = store.volumes.get_mut(&volume) {
                 share.out = share.out.saturating_sub(1);
                 share.seen = now;
@@ -863,6 +865,7 @@
                 }
             }
             // An answer weighs more where they are few, or the average would lag by seconds.
+            store.loses |= answer.outcome == Outcome::TimedOut && at < store.overtaken_to;
             let gap = at.saturating_sub(store.overtaken_to).as_secs_f64() / shortest.as_secs_f64();
             let smoothing = SMOOTHING * gap.clamp(1.0, 2.0);
             match answer.outcome {
@@ -920,10 +923,10 @@
         let taken = &self.ops[&id];
         let op_type = self.op_type(taken);
         let never_ran = taken.dispatches.iter().all(|d| d.fate == Fate::NeverRan);
-        let harmless = matches!(op_type.repeats, Repeats::Replayable | Repeats::Deduplicated);
+        let throttled = never_ran || matches!(op_type.repeats, Repeats::Replayable | Repeats::Deduplicated);
         let retry_after = op_type.target.min(self.setting_span("limits.max_retry_after"));
         let throttle = Action::Throttle { op: id, retry_after };
-        self.actions.push(if harmless || never_ran { throttle } else { Action::Abort { op: id } });
+        self.actions.push(if throttled { throttle } else { Action::Abort { op: id } });
         self.part(id);
     }
 
@@ -933,8 +936,7 @@
         let now = self.now;
         self.sweep_at = now + self.shortest.mul_f64(SWEEP);
         self.actions.push(Action::Timer { token: 0, at: self.sweep_at });
-        if self.subscribe_at.is_some_and(|at| now >= at) {
-            self.subscribe_at = None;
+        if self.subscribe_at.take_if(|at| now >= *at).is_some() {
             self.actions.push(Action::Subscribe);
         }
         let due = |taken: &Taken| !taken.ended && now >= taken.end_at;
@@ -947,9 +949,7 @@
         ids.into_iter().for_each(|id| self.sweep_store(id));
         let kept = 2 * self.setting_span("rules.further_span");
         for times in [&mut self.taken, &mut self.further] {
-            while times.front().is_some_and(|at| *at + kept < now) {
-                times.pop_front();
-            }
+            while times.pop_front_if(|at| *at + kept < now).is_some() {}
         }
         self.lines.retain(|_, line| !line.ops.is_empty() || line.rest_until > now);
     }
@@ -959,7 +959,8 @@
         let store = self.stores.get_mut(&id).expect("a listed store is known");
         store.spent.retain(|(at, _)| *at + 2 * window >= now);
         store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
-        let wait = self.shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(store.latency * SILENCE.1));
+        store.count_out(now);
+        let wait = store.patience();
         if !self.stalled && store.out.values().any(|(at, _)| (*at).max(store.overtaken_to) + wait < now) {
             store.doubt = store.doubt.or(Some(now));
         }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -220,6 +220,29 @@
     assert_eq!(world.sent_to(0, 0), [OpId(0)]);
 }
 
+/// Answers are lost with their connections while the store goes on: once that has shown, neither the rotation nor
+/// volumes that yield, as they ask for more than is due to them, wait for the time-outs.
+#[test]
+fn dispatches_that_hang_by_their_connections_cost_their_store_little() {
+    let mut world = one_store();
+    let lost = |id: OpId| id.0 % 25 == 5;
+    for step in 0..400 {
+        if step % 2 == 0 {
+            world.arrive(0, op(step / 2, step / 2 % 2, 0));
+        }
+        world.pass(ms(10));
+        for (id, n, ends) in world.out(0) {
+            if !lost(id) {
+                world.answer(0, id, n, Outcome::Acked);
+            } else if world.now >= ends {
+                world.answer(0, id, n, Outcome::TimedOut);
+            }
+        }
+    }
+    let sent = world.sent_to(0, 0).iter().filter(|id| id.0 >= 110).count();
+    assert!(sent >= 85, "all go in their time but those caught by a loss: {sent} of 90");
+}
+
 #[test]
 fn a_silent_store_does_not_freeze_the_rotation() {
     let mut world = one_store();
