After SIGTERM serve on for as long as answers can come before SIGKILL

Seen in the log and the report: each gateway is back 3.37 s after its SIGTERM, and from half a second after it on its clients failed (6.5 to 36.7% of requests in the windows with restarts), since they have no other gateway and keep the connections that they have for as long as those stand. Wrong lines: `stop` in crates/node/src/lib.rs closed standing connections after half a second, `stays` in client.rs closed each after its answer. Ruled out: the time to start (0.0 s) and what was taken but not answered (none).

Change: it goes on serving standing and new connections, each op's time cut to what is left before SIGKILL, then ends what is idle and exits.

--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -23,8 +23,8 @@
 /// and for an answer to be taken; how long what is still sent by a client that was refused is passed over.
 const SPEAK: f64 = 1.0 / 3.0;
 const LINGER: f64 = 1.0 / 6.0;
-/// How long new connections are served after SIGTERM, against how long clients may still come.
-const LEAVING: f64 = 1.25;
+/// The part of the time between the longest op timeout and SIGKILL by which all is to be answered after SIGTERM.
+const LEAVING: f64 = 0.7;
 /// Parts of the idle time in the settings after which connections to stores and of clients are closed.
 const STORE_IDLE: f64 = 0.5;
 const CLIENT_IDLE: f64 = 0.5;
@@ -43,10 +43,10 @@
     pub store_idle: Duration,
     pub client_idle: Duration,
     pub speak: Duration,
+    /// After SIGTERM: until when ops are taken, and until when all are answered.
+    pub taking: Duration,
     pub leaving: Duration,
     pub linger: Duration,
-    /// The longest time that a client waits for an answer.
-    pub longest: Duration,
 }
 
 impl Bounds {
@@ -60,7 +60,11 @@
         let part = |of: usize, part: f64| ((of as f64 * part) as usize).max(1);
         let timeouts = settings.keys().filter(|name| name.ends_with(".op_timeout"));
         let timeouts = timeouts.map(|name| span(name)).collect::<Result<Vec<_>, _>>()?;
-        let longest = timeouts.into_iter().max().ok_or("settings: op_types.count is missing")?;
+        let missing = "settings: op_types.count is missing";
+        let (longest, shortest) =
+            (timeouts.iter().max().ok_or(missing)?, timeouts.iter().min().ok_or(missing)?);
+        let (longest, shortest) = (*longest, *shortest);
+        let leaving = longest.min(words::KILLED_AFTER) + words::KILLED_AFTER_THAT.mul_f64(LEAVING);
         let idle = span("limits.conn_idle")?;
         let memory = (config.limits.memory_mb * MEGABYTE) as usize;
         let head = part(words::BODY, HEAD);
@@ -77,9 +81,9 @@
             store_idle: idle.mul_f64(STORE_IDLE),
             client_idle: idle.mul_f64(CLIENT_IDLE),
             speak: longest.mul_f64(SPEAK),
-            leaving: words::CLIENTS_STILL_COME.mul_f64(LEAVING),
+            taking: leaving.saturating_sub(shortest),
+            leaving,
             linger: longest.mul_f64(LINGER),
-            longest,
         })
     }
 }
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -74,7 +74,7 @@
     for id in 0.. {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phases.wait_for(|phase| *phase == Phase::Closing) => return,
+            _ = phases.wait_for(|phase| matches!(phase, Phase::Closing(_))) => return,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -157,7 +157,7 @@
             let closing = async {
                 match begun {
                     true => pending().await,
-                    false => _ = phases.wait_for(|phase| *phase == Phase::Closing).await,
+                    false => _ = phases.wait_for(|phase| matches!(phase, Phase::Closing(_))).await,
                 }
             };
             let read = self.read(requests);
@@ -217,7 +217,7 @@
     }
 
     fn stays(&self, persists: bool) -> bool {
-        persists && self.hub.phase() == Phase::Serving
+        persists && !self.hub.closing()
     }
 
     fn closing(&self, persists: bool, answer: impl FnOnce(bool) -> Bytes) -> Bytes {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -96,13 +96,14 @@
     }
 }
 
-/// Goes on listening while clients may still come, then ends idle connections, and returns when all that was taken is
-/// answered or the longest time that a client waits has passed.
+/// Goes on serving for as long as what comes can still be answered before SIGKILL: nobody else serves these clients
+/// until the next run of this gateway. Then ends idle connections, and returns when all that was taken is answered.
 async fn stop(hub: &Hub) {
-    hub.enter(Phase::Leaving);
-    tokio::time::sleep(hub.bounds.leaving).await;
-    hub.enter(Phase::Closing);
-    let late = tokio::time::timeout(hub.bounds.longest, hub.guests.empty()).await;
+    let end = hub.clock.now() + hub.bounds.leaving;
+    hub.enter(Phase::Leaving(end));
+    tokio::time::sleep(hub.bounds.taking).await;
+    hub.enter(Phase::Closing(end));
+    let late = tokio::time::timeout_at(hub.clock.instant(end).into(), hub.guests.empty()).await;
     if late.is_err() {
         tracing::warn!(open = hub.open(), "stopped with open connections");
     }
--- a/crates/platform/src/words.rs
+++ b/crates/platform/src/words.rs
@@ -30,8 +30,9 @@
 /// How often a watch shows a sign of life.
 pub const SIGN_OF_LIFE: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// After SIGTERM clients go on coming for so long at most.
-pub const CLIENTS_STILL_COME: std::time::Duration = std::time::Duration::from_millis(400);
+/// SIGKILL follows SIGTERM no sooner than the longest op timeout, or this where that is longer, and so much more.
+pub const KILLED_AFTER: std::time::Duration = std::time::Duration::from_secs(3);
+pub const KILLED_AFTER_THAT: std::time::Duration = std::time::Duration::from_millis(700);
 
 /// Where changes after a version of the list are told as they come.
 pub fn watch(after: u64) -> String {
