--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -61,7 +61,8 @@
         let mut open = self.open.borrow_mut();
         let least = open.iter().filter(|(_, guest)| guest.standing != Standing::Busy);
         let Some(id) = least.min_by_key(|(_, guest)| guest.standing).map(|(id, _)| *id) else { return false };
-        if let Some(Guest { task: Some(task), .. }) = open.remove(&id) {
+        if let Some(Guest { standing, task: Some(task) }) = open.remove(&id) {
+            tracing::debug!(?standing, open = open.len(), "client closed for room");
             task.abort();
         }
         true
@@ -87,6 +88,7 @@
             }
         };
         if hub.guests.len() >= hub.bounds.clients && !hub.guests.make_room() {
+            tracing::debug!(open = hub.guests.len(), "client closed, all are at work");
             continue;
         }
         _ = stream.set_nodelay(true);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -100,7 +100,14 @@
     pub async fn restart(&mut self, identity: Identity) -> io::Result<()> {
         let id = identity.store;
         let address = self.addresses.get(&id).copied().unwrap_or_else(any_port);
-        let running = store::start(identity, address, true).await?;
+        // Between its death and now a connection of somebody else on this machine may have taken its port.
+        let running = match store::start(identity.clone(), address, true).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+                store::start(identity, any_port(), true).await?
+            }
+            started => started?,
+        };
+        self.addresses.insert(id, running.address);
         self.list.restarted(id, running.address);
         self.stores.insert(id, running);
         Ok(())
