Read spans of the settings in one place; drop what the front does not use

Seen on reading the whole change: `bounds`, `core` and `ask` each parsed a span of the settings, now `config::span`; the core kept a list version that only the watch uses; `Client::closing` took a closure where a flag does.

--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use umbertray_http::Limits;
-use umbertray_platform::{Config, words};
+use umbertray_platform::{Config, config, words};
 
 /// Parts of the descriptors for clients and for stores; the rest is for the listener, discovery and the system.
 const CLIENTS: f64 = 0.6;
@@ -50,12 +50,10 @@
 }
 
 impl Bounds {
-    pub fn of(config: &Config) -> Result<Bounds, String> {
-        let settings = &config.settings;
+    pub fn of(told: &Config) -> Result<Bounds, String> {
+        let settings = &told.settings;
         let span = |name: &str| {
-            let seconds = settings.get(name).and_then(|text| text.parse::<f64>().ok());
-            let span = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-            span.ok_or_else(|| format!("settings: {name} is missing or unreadable"))
+            config::span(settings, name).ok_or_else(|| format!("settings: {name} is missing or unreadable"))
         };
         let part = |of: usize, part: f64| ((of as f64 * part) as usize).max(1);
         let timeouts = settings.keys().filter(|name| name.ends_with(".op_timeout"));
@@ -66,15 +64,15 @@
         let (longest, shortest) = (*longest, *shortest);
         let leaving = longest.min(words::KILLED_AFTER) + words::KILLED_AFTER_THAT.mul_f64(LEAVING);
         let idle = span("limits.conn_idle")?;
-        let memory = (config.limits.memory_mb * MEGABYTE) as usize;
+        let memory = (told.limits.memory_mb * MEGABYTE) as usize;
         let head = part(words::BODY, HEAD);
-        let stores = part(config.limits.sockets, STORES);
+        let stores = part(told.limits.sockets, STORES);
         Ok(Bounds {
             http: Limits { head, body: words::BODY },
             answer: Limits { head, body: part(memory, ANSWER).max(words::BODY) },
             answers: part(memory, ANSWERS),
             ahead: part(words::BODY, AHEAD),
-            clients: part(config.limits.sockets, CLIENTS),
+            clients: part(told.limits.sockets, CLIENTS),
             stores,
             one_store: part(stores, ONE_STORE),
             connect: span("limits.connect_timeout")?,
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -196,10 +196,8 @@
     async fn answer(&mut self, requests: &mut Requests, request: Request) -> Result<Option<bool>, Refused> {
         let persists = request.persists;
         if let Some(status) = self.health(&request) {
-            return Ok(self
-                .write(self.closing(persists, |close| server::answer(status, &[], b"", close)))
-                .await
-                .map(|()| self.stays(persists)));
+            let bytes = server::answer(status, &[], b"", !self.stays(persists));
+            return Ok(self.write(bytes).await.map(|()| self.stays(persists)));
         }
         let ask = self.hub.check(&request)?;
         let (target, shard, left) = (request.target, ask.shard, ask.left);
@@ -214,7 +212,7 @@
         let Ok(reply) = reply else { return Ok(None) };
         let took = self.hub.clock.now().saturating_sub(self.begun);
         tracing::debug!(%target, shard, ?left, ?took, %reply, "answered");
-        let bytes = self.closing(persists, |close| rendered(&reply, close));
+        let bytes = rendered(&reply, !self.stays(persists));
         Ok(self.write(bytes).await.map(|()| self.stays(persists)))
     }
 
@@ -222,10 +220,6 @@
         persists && !self.hub.closing()
     }
 
-    fn closing(&self, persists: bool, answer: impl FnOnce(bool) -> Bytes) -> Bytes {
-        answer(!self.stays(persists))
-    }
-
     fn health(&self, request: &Request) -> Option<u16> {
         match (&*request.method, &*request.target) {
             ("GET", words::READY) => Some(if self.hub.ready() { 200 } else { 503 }),
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -6,6 +6,7 @@
 use umbertray::interface::Settings;
 use umbertray_http::server::Request;
 
+use crate::config::span;
 use crate::words;
 
 /// An op as its client asked for it. What goes to a store is written anew from these parts.
@@ -56,8 +57,8 @@
         let named = |name: String| settings.get(&name).cloned().ok_or(name);
         let op_type = |i: usize| {
             let timeout = format!("op_types.{i}.op_timeout");
-            let span = number(&timeout).and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-            Ok((named(format!("op_types.{i}.name"))?, span.ok_or(timeout)?))
+            let patience = span(settings, &timeout);
+            Ok((named(format!("op_types.{i}.name"))?, patience.ok_or(timeout)?))
         };
         let plan = |i: usize| named(format!("plans.{i}.name"));
         Ok(Names {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,7 @@
 //! What a gateway is told at its start: one JSON document.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -74,6 +75,12 @@
     }
 }
 
+/// A span among the settings; nothing where it is missing or unreadable.
+pub fn span(settings: &Settings, name: &str) -> Option<Duration> {
+    let seconds = settings.get(name)?.parse::<f64>().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Nested settings as the paths and values that the simulator's wire tells: a list of plain values is joined with
 /// commas, a list of objects has its length under `count` and its items under their numbers.
 fn flatten(value: &Value, path: &mut String, pairs: &mut Vec<(String, String)>) {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -14,7 +14,7 @@
 use umbertray_http::{client, server};
 
 use crate::ask::{Ask, Names, Refused};
-use crate::config::Config;
+use crate::config::{Config, span};
 use crate::list::{Entry, List};
 use crate::words;
 
@@ -186,7 +186,6 @@
     next_store: u32,
     volume_ids: HashMap<u64, VolumeId>,
     next_volume: u32,
-    version: u64,
     listed: bool,
     timers: BTreeSet<(Duration, u64)>,
     events: Vec<Event>,
@@ -200,8 +199,7 @@
 
 /// How long a store may be sent to after it was told that it drains.
 fn grace(settings: &Settings) -> Duration {
-    let seconds = settings.get("rules.drain_grace").and_then(|text| text.parse::<f64>().ok());
-    seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()).unwrap_or_default()
+    span(settings, "rules.drain_grace").unwrap_or_default()
 }
 
 impl Core {
@@ -226,7 +224,6 @@
             next_store: 0,
             volume_ids: HashMap::new(),
             next_volume: 0,
-            version: 0,
             listed: false,
             timers: BTreeSet::new(),
             events: vec![Event::Start { seed: config.seed, settings: settings.clone() }],
@@ -252,11 +249,6 @@
         self.listed
     }
 
-    /// The version of the list that is held.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Ops without their final answer.
     pub fn open(&self) -> usize {
         self.clients.len()
@@ -315,11 +307,9 @@
                 self.events.push(Event::Probed { store, outcome, report });
             }
             Input::List(list) => {
-                let (version, whole) = (list.version, list.whole);
                 let listings = self.listings(&list);
-                self.version = version;
                 self.listed |= !list.stores.is_empty();
-                let news = if whole { ListNews::Full(listings) } else { ListNews::Changes(listings) };
+                let news = if list.whole { ListNews::Full(listings) } else { ListNews::Changes(listings) };
                 self.events.push(Event::List(news));
             }
             Input::ListFailed => self.events.push(Event::List(ListNews::Failed)),
