Refuse by name settings that stand there unreadable; they counted as absent

Cause: found by listing what the module takes for granted of its settings. `number(..).unwrap_or(0.0)` and `setting(name, otherwise)` made no difference between a figure that is absent and one that cannot be read.

Change: one reading for start and change; what stands there and cannot be read is named, at start by `Fatal`, in service by a line in the log, and the former settings hold. Absent figures mean what they meant.

Test: a_setting_that_cannot_be_read_is_named_at_the_start_and_in_service; before the change it fails at its first setting.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -170,8 +170,8 @@
     fn patience(&self) -> Duration {
         self.shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(self.latency * SILENCE.1))
     }
-    /// Departure: one long overdue that later ones overtook hangs by its connection, not its store; so may any
-    /// at a store that loses answers. It must not hold up the rotation or fill the cap.
+    /// Departure: one long overdue that later ones overtook hangs by its connection, not its store; so may
+    /// any at a store that loses answers. It must not hold up the rotation or fill the cap.
     fn hangs(&self, sent: Duration, now: Duration) -> bool {
         (sent < self.overtaken_to || self.loses) && sent + self.patience() < now
     }
@@ -287,30 +287,55 @@
     Duration::try_from_secs_f64(number(settings, name)?).map_err(|_| name.to_string())
 }
 
+type Read<T> = fn(&Settings, &str) -> Result<T, String>;
+
+/// What may be absent. Danger: where it stands there unreadable it is not absent, or its rule would be off.
+fn stated<T: Default>(settings: &Settings, name: &str, read: Read<T>) -> Result<T, String> {
+    if settings.contains_key(name) { read(settings, name) } else { Ok(T::default()) }
+}
+
+/// Figures that may be absent and are read as they are needed.
+const READ_LATER: &str = "limits.max_dispatches limits.max_retry_after rules.ask_within rules.cold_from \
+    rules.drain_grace rules.fall_multiple rules.further_free rules.further_share rules.further_span \
+    rules.order_pause stores.cold_units";
+
 fn hashed(value: impl Hash) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(value)
 }
 
-/// The op types and plans that settings name.
+/// The op types and plans that settings name, once all that rules are kept by can be read.
 fn figures(s: &Settings) -> Result<(Vec<OpType>, Vec<Plan>), String> {
+    for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
+        span(s, name)?;
+    }
+    for name in READ_LATER.split_whitespace() {
+        stated(s, name, span)?;
+    }
     let word = |name: &str| s.get(name).map(String::as_str);
+    if !matches!(word("discovery"), None | Some("pushed" | "asked")) {
+        return Err("discovery".into());
+    }
     let mut op_types = Vec::new();
     for i in 0..number(s, "op_types.count")? as usize {
         let name = |field: &str| format!("op_types.{i}.{field}");
         op_types.push(OpType {
-            target: span(s, &name("target_latency"))?,
+            // Danger: the next look is a part of it away; with none there would be no end of looks.
+            target: Some(span(s, &name("target_latency"))?)
+                .filter(|target| !target.is_zero())
+                .ok_or_else(|| name("target_latency"))?,
             longest_left: Duration::ZERO,
             utility: number(s, &name("utility"))?,
             repeats: match (word(&name("repeats")), word(&name("dedup_scope"))) {
                 (Some("replayable"), _) => Repeats::Replayable,
                 (Some("deduplicated"), Some("all")) => Repeats::Deduplicated,
                 (Some("deduplicated"), Some("zone")) => Repeats::DeduplicatedInZone,
-                (Some("deduplicated"), _) => Repeats::DeduplicatedInShard,
+                (Some("deduplicated"), Some("cell") | None) => Repeats::DeduplicatedInShard,
+                (Some("deduplicated"), _) => return Err(name("dedup_scope")),
                 (Some("once_only"), _) => Repeats::OnceOnly,
                 _ => return Err(name("repeats")),
             },
-            dedup_span: span(s, &name("dedup_span")).unwrap_or_default(),
-            in_order: word(&name("in_order")) == Some("true"),
+            dedup_span: stated(s, &name("dedup_span"), span)?,
+            in_order: word(&name("in_order")).unwrap_or("false").parse().map_err(|_| name("in_order"))?,
         });
     }
     let (mut plans, mut present) = (Vec::new(), Vec::new());
@@ -321,11 +346,11 @@
         present.extend((!gone).then_some(i));
         plans.push(Plan {
             weight: if gone { 1.0 } else { number(s, &name("weight"))?.max(f64::MIN_POSITIVE) },
-            limit: number(s, &name("limit")).unwrap_or(0.0),
-            limit_burst: number(s, &name("limit_burst")).unwrap_or(0.0),
+            limit: stated(s, &name("limit"), number)?,
+            limit_burst: stated(s, &name("limit_burst"), number)?,
             was: VecDeque::new(),
             rate: if gone { 1.0 } else { number(s, &name("rate"))? },
-            due: number(s, &name("reserve")).unwrap_or(0.0),
+            due: stated(s, &name("reserve"), number)?,
         });
     }
     let best = op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
@@ -346,9 +371,6 @@
     fn start(now: Duration, seed: u64, settings: Settings) -> Result<Running, String> {
         let s = &settings;
         let (op_types, plans) = figures(s)?;
-        for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
-            span(s, name)?;
-        }
         let shortest = op_types.iter().map(|t| t.target).min().ok_or("op_types.count")?;
         let mut running = Running {
             now,
@@ -496,10 +518,13 @@
     /// New figures hold from now on; settings that lack what was there are not taken. What was served keeps
     /// its price: tags stay, as they count it at the weight of its time. Limits fill up to now as they were.
     fn changed(&mut self, settings: Settings) {
-        let Ok((mut op_types, mut plans)) = figures(&settings) else { return };
-        if op_types.len() < self.op_types.len() || plans.len() < self.plans.len() {
-            return;
-        }
+        let (mut op_types, mut plans) = match figures(&settings) {
+            Ok(read) if read.0.len() >= self.op_types.len() && read.1.len() >= self.plans.len() => read,
+            read => {
+                let name = read.err().unwrap_or("op_types.count or plans.count".into());
+                return self.actions.push(Action::Log(format!("settings not taken: {name} cannot hold")));
+            }
+        };
         op_types.iter_mut().zip(&self.op_types).for_each(|(new, old)| new.longest_left = old.longest_left);
         for (plan, old) in plans.iter_mut().zip(&mut self.plans) {
             plan.was = std::mem::take(&mut old.was);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -514,3 +514,40 @@
     world.arrive(0, op(2, 2, 0));
     assert_eq!(world.sent_to(0, 0).last(), Some(&OpId(2)));
 }
+
+/// Taken for absent, each of these would put a rule out of force, or have the module look at all of it without end.
+#[test]
+fn a_setting_that_cannot_be_read_is_named_at_the_start_and_in_service() {
+    for (name, value) in [
+        ("discovery", "told"),
+        ("gateways", "some"),
+        ("limits.max_dispatches", "few"),
+        ("op_types.0.target_latency", "0"),
+        ("op_types.1.dedup_scope", "rack"),
+        ("op_types.1.dedup_span", "soon"),
+        ("op_types.2.repeats", "rarely"),
+        ("op_types.3.in_order", "mostly"),
+        ("plans.0.reserve", "-1"),
+        ("plans.1.limit", "20/s"),
+        ("plans.1.limit_burst", "inf"),
+        ("rules.cold_from", "nan"),
+        ("rules.cold_time", "1e300"),
+        ("rules.drain_grace", "1e300"),
+        ("rules.further_share", "0,2"),
+        ("rules.further_span", ""),
+        ("rules.order_pause", "300ms"),
+        ("stores.cold_units", "4 units"),
+    ] {
+        let mut wrong = settings();
+        wrong.insert(name.into(), value.into());
+        let start = Event::Start { seed: 1, settings: wrong.clone() };
+        let said = Gateway::default().handle(at(0), vec![start]);
+        assert!(matches!(&said[..], [Action::Fatal(text)] if text.contains(name)), "{name}: {said:?}");
+        let mut world = one_store();
+        world.tell(0, vec![Event::Changed { settings: wrong }]);
+        let said = world.sides[0].actions.last();
+        assert!(matches!(said, Some(Action::Log(text)) if text.contains(name)), "{name}: {said:?}");
+        world.arrive(0, Op { plan: 1, ..op(1, 1, 3) });
+        assert!(!world.sides[0].ops[&OpId(1)].ended, "{name}: the former hold");
+    }
+}
