Keep op types, plans and zones in their places; pass over a state not known

Cause: three things that the front took for granted of the platform's layout, each found by a probe that broke a rule. - Op types and plans were taken anew in the order of the new file at SIGHUP, while the module knows them by their places. `Core::changed` with `look` (replayable) and `order` (once-only) exchanged: an `order` that came back with 500 after its one dispatch was sent again (rule 2); a volume's limit filled at the other plan's figures (rule 7, by reading). - `listing` gave all zones that the settings do not name one number, and numbered named ones anew at SIGHUP: an op that is deduplicated in a zone went on from zone "near" to zone "far" (rule 2). - A list with one state word that is not known was refused whole, again and again, so that drains in it were missed (rule 3); the adapter takes such a store for gone.

Change: `places::in_places` finds op types and plans again by their names; who is left out keeps its place, marked as gone, and requests for it are refused. A zone keeps its number. A state not known is taken for gone, as the adapter does, and told in the log with its entry and version.

The module did not change here.

--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -7,6 +7,7 @@
 use umbertray_http::server::Request;
 
 use crate::config::span;
+use crate::places;
 use crate::words;
 
 /// An op as its client asked for it. What goes to a store is written anew from these parts.
@@ -44,8 +45,9 @@
 
 /// What requests may name, by the settings.
 pub struct Names {
-    op_types: Vec<(String, Duration)>,
-    plans: Vec<String>,
+    /// In their places; without a name those that are no more.
+    op_types: Vec<(Option<String>, Duration)>,
+    plans: Vec<Option<String>>,
     shards: Option<u32>,
     most_units: Option<f64>,
 }
@@ -53,17 +55,21 @@
 impl Names {
     pub fn of(settings: &Settings) -> Result<Names, String> {
         let number = |name: &str| settings.get(name).and_then(|text| text.parse::<f64>().ok());
-        let count = |name: &str| number(name).map(|n| n as usize).ok_or_else(|| name.to_string());
-        let named = |name: String| settings.get(&name).cloned().ok_or(name);
+        let count = |list: &str| places::count(settings, list).ok_or_else(|| format!("{list}.count"));
+        let named = |list: &str, i: usize| {
+            let gone = settings.get(&format!("{list}.{i}.gone")).is_some_and(|gone| gone == "true");
+            let name = format!("{list}.{i}.name");
+            Ok(Some(settings.get(&name).cloned().ok_or(name)?).filter(|_| !gone))
+        };
         let op_type = |i: usize| {
             let timeout = format!("op_types.{i}.op_timeout");
             let patience = span(settings, &timeout);
-            Ok((named(format!("op_types.{i}.name"))?, patience.ok_or(timeout)?))
+            Ok((named("op_types", i)?, patience.ok_or(timeout)?))
         };
-        let plan = |i: usize| named(format!("plans.{i}.name"));
+        let plan = |i: usize| named("plans", i);
         Ok(Names {
-            op_types: (0..count("op_types.count")?).map(op_type).collect::<Result<_, String>>()?,
-            plans: (0..count("plans.count")?).map(plan).collect::<Result<_, String>>()?,
+            op_types: (0..count("op_types")?).map(op_type).collect::<Result<_, String>>()?,
+            plans: (0..count("plans")?).map(plan).collect::<Result<_, String>>()?,
             shards: number("stores.slots_total").map(|n| n as u32).filter(|n| *n > 0),
             most_units: number("stores.max_units").filter(|n| *n > 0.0),
         })
@@ -78,7 +84,7 @@
         };
         let (op_type, volume, key) = self.path(&request.target)?;
         let plan = text(request, words::PLAN)?;
-        let Some(plan) = self.plans.iter().position(|own| own == plan) else {
+        let Some(plan) = self.plans.iter().position(|own| own.as_deref() == Some(plan)) else {
             return refused(400, format!("{}: no plan of this name", words::PLAN));
         };
         let id = text(request, words::ID)?;
@@ -115,7 +121,8 @@
         let [Some(""), Some(op_type), Some(volume), Some(key), None] = steps else {
             return refused(404, "the path is not /op-type/volume/key");
         };
-        let Some(op_type) = self.op_types.iter().position(|(name, _)| name == op_type) else {
+        let Some(op_type) = self.op_types.iter().position(|(name, _)| name.as_deref() == Some(op_type))
+        else {
             return refused(404, "the path names no op type");
         };
         let Some((volume, key)) = hex(volume).zip(hex(key)) else {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -16,6 +16,7 @@
 use crate::ask::{Ask, Names, Refused};
 use crate::config::{Config, span};
 use crate::list::{Entry, List};
+use crate::places;
 use crate::words;
 
 /// Who waits for an answer: one request of one connection, never used twice.
@@ -173,6 +174,8 @@
     module: Gateway,
     now: Duration,
     names: Names,
+    settings: Settings,
+    /// By the numbers that the module knows them by: a name keeps its own, whatever the settings name later.
     zones: Vec<String>,
     grace: Duration,
     fields: Vec<String>,
@@ -212,6 +215,7 @@
             module: Gateway::default(),
             now,
             names,
+            settings: settings.clone(),
             zones: words_of(settings.get("failure_domains")),
             grace: grace(settings),
             fields: words_of(settings.get("telemetry.fields")),
@@ -320,10 +324,12 @@
 
     /// Settings that name no op types and plans are not taken; what is open goes on under its numbers.
     fn changed(&mut self, settings: Settings) {
-        match Names::of(&settings) {
+        let placed = places::in_places(&self.settings, &settings);
+        match Names::of(&settings).and_then(|_| Names::of(&placed)) {
             Ok(names) => {
+                let settings = placed;
                 self.names = names;
-                self.zones = words_of(settings.get("failure_domains"));
+                self.settings = settings.clone();
                 self.grace = grace(&settings);
                 self.fields = words_of(settings.get("telemetry.fields"));
                 self.events.push(Event::Changed { settings });
@@ -434,6 +440,7 @@
                 (store.state, store.left_at) = (StoreState::Gone, store.left_at.or(Some(self.now)));
             }
         }
+        self.deeds.extend(list.unknown.iter().cloned().map(Deed::Log));
         list.stores.iter().map(|entry| self.listing(entry)).collect()
     }
 
@@ -450,7 +457,11 @@
         if state == StoreState::Gone {
             self.deeds.push(Deed::Drop { store });
         }
-        let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(self.zones.len());
+        // Danger: taken for one zone, two that settings do not name would get an op twice.
+        let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or_else(|| {
+            self.zones.push(entry.zone.clone());
+            self.zones.len() - 1
+        });
         Listing { store, shard: entry.shard, zone: zone as u32, started: entry.started, state }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 mod core;
 pub mod list;
+mod places;
 pub mod words;
 
 pub use ask::{Ask, Refused};
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -15,6 +15,8 @@
     pub version: u64,
     pub whole: bool,
     pub stores: Vec<Entry>,
+    /// What of it this version does not know, and where it stands.
+    pub unknown: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -64,6 +66,7 @@
             entry: "unknown".into(),
             what: error.to_string(),
         })?;
+        let mut unknown = Vec::new();
         let entry = |entry: ToldEntry| {
             let wrong = |what: String| Unreadable { version: told.rev, entry: entry.uid.clone(), what };
             Ok(Entry {
@@ -74,14 +77,19 @@
                     "ready" => StoreState::Ready,
                     "draining" => StoreState::Draining,
                     "gone" => StoreState::Gone,
-                    other => return Err(wrong(format!("state {other:?}"))),
+                    // Danger: refusing the list for one word would hide the drains that it tells of.
+                    other => {
+                        let what = format!("state {other:?} is not known, it is taken for gone");
+                        unknown.push(wrong(what).to_string());
+                        StoreState::Gone
+                    }
                 },
                 started: (entry.boot_ms > 0).then(|| Duration::from_millis(entry.boot_ms)),
                 uid: entry.uid,
             })
         };
         let stores = told.targets.into_iter().map(entry).collect::<Result<_, _>>()?;
-        Ok(List { version: told.rev, whole: told.all, stores })
+        Ok(List { version: told.rev, whole: told.all, stores, unknown })
     }
 }
 
