Keep connections to stores by address; refuse spans too long to count with

Cause, both found by probes of what is taken for granted: - `node::Pools` kept connections by store. Once discovery told another address for a store, idle ones led to the former, and as each was put back after use, for as long as ops came: over loopback all ops of 5 s went there. - `span` took any length that a `Duration` holds; `2 * window`, `3 * tick` and the like then overflow: a panic with `rules.fall_time`, `rules.further_span` or `tick` of 1e19 s.

Change: pools go by the address they lead to; an address that a store leaves, by moving, going or missing in a whole list (that was an open end), has its idle connections closed. Spans over a 64th of the longest are refused by name.

Tests, failing before: a_store_that_moves_is_reached_where_it_is_now, two more settings in a_setting_that_cannot_be_read_is_named_at_the_start_and_in_service, the drop in a_dispatch_that_waited_does_not_begin_at_a_store_that_is_left.

--- a/crates/cli/tests/platform/serving.rs
+++ b/crates/cli/tests/platform/serving.rs
@@ -132,3 +132,26 @@
         .await;
     assert_eq!(node.connect().await.ask(&op("look", 0, 2, 2000)).await.0, 200);
 }
+
+/// Connections to where a store was lead, later, to whoever listens there now.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_moves_is_reached_where_it_is_now() {
+    let (node, before, discovery) = Node::with_store(|_| Act::Write(ok("before"))).await;
+    let now = Store::start(|_, _| Act::Write(ok("now"))).await.expect("loopback");
+    let mut caller = node.connect().await;
+    assert_eq!(caller.ask(&op("look", 0, 0, 2000)).await, (200, "before".into()));
+    discovery.list("s0", now.address, 0, "ready");
+    let served = async {
+        for n in 1.. {
+            if caller.ask(&op("look", 0, n, 2000)).await.1 == "now" {
+                return;
+            }
+        }
+    };
+    within(5, "an op where the store is now", served).await;
+    let there = before.requests().len();
+    for n in 0..5 {
+        assert_eq!(caller.ask(&op("look", 0, 1 << 32 | n, 2000)).await, (200, "now".into()));
+    }
+    assert_eq!(before.requests().len(), there, "nothing more goes where it was");
+}
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -163,11 +163,11 @@
             Deed::Probe { store, address } => {
                 let hub = self.clone();
                 tokio::task::spawn_local(async move {
-                    let returned = store::probe(&hub, store, address).await;
+                    let returned = store::probe(&hub, address).await;
                     hub.post(Input::Probed { store, returned });
                 });
             }
-            Deed::Drop { store } => self.pools.forget(store),
+            Deed::Drop { address } => self.pools.forget(address),
             Deed::Subscribe => self.subscribe.notify_one(),
             Deed::FetchList => self.fetch.notify_one(),
             Deed::Log(text) => tracing::info!(text, "said"),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -28,7 +28,8 @@
 /// All connections to stores, in use and idle.
 pub struct Pools {
     bounds: Bounds,
-    pools: RefCell<HashMap<StoreId, Pool>>,
+    /// By where they lead: a store may move, and its connections do not.
+    pools: RefCell<HashMap<SocketAddr, Pool>>,
     open: Cell<usize>,
     /// A connection came free, or room for one.
     room: Notify,
@@ -37,13 +38,13 @@
 /// A connection that is in use; dropped, it is closed and its room free.
 struct Link<'a> {
     pools: &'a Pools,
-    store: StoreId,
+    address: SocketAddr,
     stream: Option<TcpStream>,
 }
 
 impl Drop for Link<'_> {
     fn drop(&mut self) {
-        self.pools.closed(self.store, 1);
+        self.pools.closed(self.address, 1);
     }
 }
 
@@ -52,15 +53,15 @@
         Pools { bounds, pools: RefCell::default(), open: Cell::new(0), room: Notify::new() }
     }
 
-    fn closed(&self, store: StoreId, connections: usize) {
+    fn closed(&self, address: SocketAddr, connections: usize) {
         if connections == 0 {
             return;
         }
         let mut pools = self.pools.borrow_mut();
-        if let Some(pool) = pools.get_mut(&store) {
+        if let Some(pool) = pools.get_mut(&address) {
             pool.open -= connections;
             if pool.open == 0 {
-                pools.remove(&store);
+                pools.remove(&address);
             }
         }
         self.open.set(self.open.get() - connections);
@@ -69,45 +70,45 @@
 
     /// The connection used last of those that stand idle. Danger: what can be read while nothing was asked is the end
     /// of the connection or an answer to something else; either way it is of no further use.
-    fn idle(&self, store: StoreId) -> Option<Link<'_>> {
+    fn idle(&self, address: SocketAddr) -> Option<Link<'_>> {
         let mut spoilt = 0;
         let stream = loop {
-            let popped = self.pools.borrow_mut().get_mut(&store).and_then(|pool| pool.idle.pop());
+            let popped = self.pools.borrow_mut().get_mut(&address).and_then(|pool| pool.idle.pop());
             let Some((stream, since)) = popped else { break None };
             if silent(&stream) && since.elapsed() < self.bounds.store_idle {
                 break Some(stream);
             }
             spoilt += 1;
         };
-        self.closed(store, spoilt);
-        stream.map(|stream| Link { pools: self, store, stream: Some(stream) })
+        self.closed(address, spoilt);
+        stream.map(|stream| Link { pools: self, address, stream: Some(stream) })
     }
 
     /// Room for a new connection, at the cost of one that stands idle at another store if need be.
-    fn slot(&self, store: StoreId) -> Option<Link<'_>> {
+    fn slot(&self, address: SocketAddr) -> Option<Link<'_>> {
         if self.open.get() >= self.bounds.stores {
             let longest = {
                 let pools = self.pools.borrow();
-                let firsts = pools.iter().filter_map(|(id, pool)| Some((pool.idle.first()?.1, *id)));
-                firsts.min().map(|(_, id)| id)
+                let firsts = pools.iter().filter_map(|(at, pool)| Some((pool.idle.first()?.1, *at)));
+                firsts.min().map(|(_, at)| at)
             };
             let oldest =
-                longest.and_then(|id| self.pools.borrow_mut().get_mut(&id).map(|pool| pool.idle.remove(0)));
+                longest.and_then(|at| self.pools.borrow_mut().get_mut(&at).map(|pool| pool.idle.remove(0)));
             self.closed(longest?, usize::from(oldest.is_some()));
         }
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(store).or_default();
+        let pool = pools.entry(address).or_default();
         if pool.open >= self.bounds.one_store {
             return None;
         }
         pool.open += 1;
         self.open.set(self.open.get() + 1);
-        Some(Link { pools: self, store, stream: None })
+        Some(Link { pools: self, address, stream: None })
     }
 
     fn put_back(&self, mut link: Link) {
         let Some(stream) = link.stream.take() else { return };
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&link.store) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&link.address) {
             pool.idle.push((stream, Instant::now()));
             std::mem::forget(link);
         }
@@ -115,33 +116,33 @@
     }
 
     /// Closes what stands idle at a store.
-    pub fn forget(&self, store: StoreId) {
-        let idle = self.pools.borrow_mut().get_mut(&store).map(|pool| std::mem::take(&mut pool.idle));
-        self.closed(store, idle.map_or(0, |idle| idle.len()));
+    pub fn forget(&self, address: SocketAddr) {
+        let idle = self.pools.borrow_mut().get_mut(&address).map(|pool| std::mem::take(&mut pool.idle));
+        self.closed(address, idle.map_or(0, |idle| idle.len()));
     }
 
     /// Closes what has stood idle for long, or has ended.
     fn tidy(&self) {
-        let stores: Vec<StoreId> = self.pools.borrow().keys().copied().collect();
-        for store in stores {
-            let closed = self.pools.borrow_mut().get_mut(&store).map_or(0, |pool| {
+        let addresses: Vec<SocketAddr> = self.pools.borrow().keys().copied().collect();
+        for address in addresses {
+            let closed = self.pools.borrow_mut().get_mut(&address).map_or(0, |pool| {
                 let before = pool.idle.len();
                 let fresh = |since: &Instant| since.elapsed() < self.bounds.store_idle;
                 pool.idle.retain(|(stream, since)| fresh(since) && silent(stream));
                 before - pool.idle.len()
             });
-            self.closed(store, closed);
+            self.closed(address, closed);
         }
     }
 
-    /// A connection to the store: one that stands idle, or a new one.
-    async fn link(&self, store: StoreId, address: SocketAddr) -> Option<Link<'_>> {
+    /// A connection to this address: one that stands idle, or a new one.
+    async fn link(&self, address: SocketAddr) -> Option<Link<'_>> {
         loop {
             let room = self.room.notified();
-            if let Some(link) = self.idle(store) {
+            if let Some(link) = self.idle(address) {
                 return Some(link);
             }
-            if let Some(mut link) = self.slot(store) {
+            if let Some(mut link) = self.slot(address) {
                 let stream = timeout(self.bounds.connect, TcpStream::connect(address)).await.ok()?.ok()?;
                 _ = stream.set_nodelay(true);
                 link.stream = Some(stream);
@@ -168,7 +169,7 @@
     written: &Cell<bool>,
 ) -> (Returned, Duration) {
     let (due, asked) = (hub.clock.instant(until).into(), hub.clock.now());
-    let (returned, at) = carried(hub, call, store, address, due, written).await;
+    let (returned, at) = carried(hub, call, address, due, written).await;
     let took = at.saturating_sub(asked);
     tracing::debug!(op = call.op.0, call.dispatch, store = store.0, ?took, %returned, "returned");
     (returned, at)
@@ -177,13 +178,12 @@
 async fn carried(
     hub: &Rc<Hub>,
     call: Call,
-    store: StoreId,
     address: SocketAddr,
     due: tokio::time::Instant,
     written: &Cell<bool>,
 ) -> (Returned, Duration) {
     let sent = timeout_at(due, async {
-        let mut link = hub.pools.link(store, address).await?;
+        let mut link = hub.pools.link(address).await?;
         let bytes = hub.begin(call)?;
         write(&mut link, &bytes, written).await?;
         Some(link)
@@ -215,7 +215,7 @@
         }
         let read = answers.answer();
         if !room.holds(answers.size()) {
-            tracing::warn!(store = link.store.0, size = answers.size(), "no room for an answer");
+            tracing::warn!(store = %link.address, size = answers.size(), "no room for an answer");
             return (Returned::Broken, at);
         }
         match read {
@@ -229,7 +229,7 @@
                 return (Returned::Answer(answer), at);
             }
             Err(error) => {
-                tracing::debug!(store = link.store.0, %error, "answer not read");
+                tracing::debug!(store = %link.address, %error, "answer not read");
                 return (Returned::Broken, at);
             }
         }
@@ -283,10 +283,10 @@
 }
 
 /// Asks a store for its load.
-pub async fn probe(hub: &Rc<Hub>, store: StoreId, address: SocketAddr) -> Returned {
+pub async fn probe(hub: &Rc<Hub>, address: SocketAddr) -> Returned {
     let written = Cell::new(false);
     let asked = timeout(hub.bounds.connect, async {
-        let mut link = hub.pools.link(store, address).await?;
+        let mut link = hub.pools.link(address).await?;
         let bytes = client::request("GET", words::STATS, &address.to_string(), &[], b"");
         write(&mut link, &bytes, &written).await?;
         Some(answer(hub, link).await.0)
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -127,9 +127,9 @@
         store: StoreId,
         address: SocketAddr,
     },
-    /// The store is of no use any more: connections to it can go.
+    /// No store that is of use listens there any more: connections to it can go.
     Drop {
-        store: StoreId,
+        address: SocketAddr,
     },
     Subscribe,
     FetchList,
@@ -437,6 +437,9 @@
         if list.whole {
             let named = |uid: &str| list.stores.iter().any(|entry| entry.uid == uid);
             for store in self.stores.values_mut().filter(|store| !named(&store.uid)) {
+                if store.state != StoreState::Gone {
+                    self.deeds.push(Deed::Drop { address: store.address });
+                }
                 (store.state, store.left_at) = (StoreState::Gone, store.left_at.or(Some(self.now)));
             }
         }
@@ -453,10 +456,10 @@
         let (uid, address, state) = (entry.uid.clone(), entry.address, entry.state);
         let left_at = self.stores.get(&store).and_then(|known| known.left_at).or(Some(self.now));
         let left_at = left_at.filter(|_| state != StoreState::Ready);
-        self.stores.insert(store, Store { uid, address, state, left_at });
-        if state == StoreState::Gone {
-            self.deeds.push(Deed::Drop { store });
-        }
+        let before = self.stores.insert(store, Store { uid, address, state, left_at });
+        let left = before.map(|before| before.address).filter(|before| *before != address);
+        let left = left.or((state == StoreState::Gone).then_some(address));
+        self.deeds.extend(left.map(|address| Deed::Drop { address }));
         // Danger: taken for one zone, two that settings do not name would get an op twice.
         let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or_else(|| {
             self.zones.push(entry.zone.clone());
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -371,7 +371,10 @@
     world.tell(vec![Input::List(read(list(2, false, &[entry("s0", 0, "draining", 0)])))]);
     assert!(world.core.begin(first, world.now + ms(500)).is_some(), "rule 3: within the grace");
     assert_eq!(world.core.begin(first, world.now + ms(1000)), None, "rule 3: beyond the grace");
-    world.tell(vec![Input::List(read(list(3, true, &[entry("s1", 1, "ready", 0)])))]);
+    for dropped in [1, 0] {
+        let deeds = world.tell(vec![Input::List(read(list(3, true, &[entry("s1", 1, "ready", 0)])))]);
+        assert_eq!(deeds.iter().filter(|deed| matches!(deed, Deed::Drop { .. })).count(), dropped);
+    }
     assert_eq!(world.core.begin(first, world.now), None, "rule 3: gone from the whole list");
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -284,7 +284,9 @@
 }
 
 fn span(settings: &Settings, name: &str) -> Result<Duration, String> {
-    Duration::try_from_secs_f64(number(settings, name)?).map_err(|_| name.to_string())
+    let span = Duration::try_from_secs_f64(number(settings, name)?).ok();
+    // Danger: sums and small multiples of longer ones are more than can be counted.
+    span.filter(|span| *span <= Duration::MAX / 64).ok_or_else(|| name.to_string())
 }
 
 type Read<T> = fn(&Settings, &str) -> Result<T, String>;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -535,6 +535,8 @@
         ("rules.drain_grace", "1e300"),
         ("rules.further_share", "0,2"),
         ("rules.further_span", ""),
+        ("rules.fall_time", "1e19"),
+        ("tick", "1e19"),
         ("rules.order_pause", "300ms"),
         ("stores.cold_units", "4 units"),
     ] {
