Ask the module whether it can act on settings before the front takes them

Cause: at SIGHUP the front took the names of settings whose figures the module refused, a plan with an unreadable weight for one: requests of that plan were taken and each was aborted. At start such settings ended the program only after it had listened and said so.

Change: `core::names` starts a module that is dropped again and takes its refusal as the settings' own, at start before anything listens, in service as one line in the log with the former settings held.

Result: settings_that_change_are_taken_and_wrong_ones_are_not and what_is_missing_or_unreadable_is_named have a case each that failed before; by hand, `umbertray node` with "discovery":"told" says "umbertray: settings: discovery is missing or unreadable", exit 1.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -200,6 +200,18 @@
     words.filter(|word| !word.is_empty()).map(String::from).collect()
 }
 
+/// What requests may name by these settings, if the module can act on them: a module that is asked once and dropped says.
+fn names(settings: &Settings) -> Result<Names, String> {
+    let names = Names::of(settings).map_err(|name| format!("{name} is missing or unreadable"))?;
+    let start = Event::Start { seed: 0, settings: settings.clone() };
+    let said = Gateway::default().handle(Duration::ZERO, vec![start]);
+    let refused = said.into_iter().find_map(|action| match action {
+        Action::Fatal(text) => Some(text),
+        _ => None,
+    });
+    refused.map_or(Ok(names), Err)
+}
+
 /// How long a store may be sent to after it was told that it drains.
 fn grace(settings: &Settings) -> Duration {
     span(settings, "rules.drain_grace").unwrap_or_default()
@@ -209,8 +221,7 @@
     /// A core at its start; `now` is a span since 1970, as the list tells starts.
     pub fn start(config: &Config, now: Duration) -> Result<Core, String> {
         let settings = &config.settings;
-        let names =
-            Names::of(settings).map_err(|name| format!("settings: {name} is missing or unreadable"))?;
+        let names = names(settings).map_err(|why| format!("settings: {why}"))?;
         let mut core = Core {
             module: Gateway::default(),
             now,
@@ -322,10 +333,10 @@
         }
     }
 
-    /// Settings that name no op types and plans are not taken; what is open goes on under its numbers.
+    /// Settings that the module cannot act on are not taken; what is open goes on under its numbers.
     fn changed(&mut self, settings: Settings) {
         let placed = places::in_places(&self.settings, &settings);
-        match Names::of(&settings).and_then(|_| Names::of(&placed)) {
+        match names(&settings).and_then(|_| names(&placed)) {
             Ok(names) => {
                 let settings = placed;
                 self.names = names;
@@ -334,9 +345,7 @@
                 self.fields = words_of(settings.get("telemetry.fields"));
                 self.events.push(Event::Changed { settings });
             }
-            Err(name) => {
-                self.deeds.push(Deed::Log(format!("settings not taken: {name} is missing or unreadable")))
-            }
+            Err(why) => self.deeds.push(Deed::Log(format!("settings not taken: {why}"))),
         }
     }
 
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -189,6 +189,8 @@
     assert!(said(r#""rev":1"#, r#""rev":-1"#).starts_with("known: "));
     assert!(said(r#""deadlineS":1.0"#, r#""deadlineS":"x""#).contains("op_types.0.op_timeout"));
     assert!(said(r#""name":"basic","#, "").contains("plans.0.name"));
+    assert!(said("automatic", "told").starts_with("settings: discovery "));
+    assert!(said(r#""rate":5.0"#, r#""rate":"x""#).starts_with("settings: plans.0.rate "));
     assert!(said("{\"name\"", "{name").contains("line 1, column 2"));
 }
 
@@ -405,6 +407,13 @@
     let deeds = world.tell(vec![Input::Changed(read(&SETTINGS.replace("profiles", "nothing")))]);
     assert!(matches!(&deeds[..], [Deed::Log(text)] if text.contains("op_types.count")), "{deeds:?}");
     assert_eq!(world.core.check(&look(1)).expect_err("the former hold").status, 400);
+    // What the module cannot act on must not be asked for either.
+    let unreadable = r#""contracts":[{"name":"new","rate":5.0,"weight":"heavy"},"#;
+    let deeds = world.tell(vec![Input::Changed(read(&SETTINGS.replace(r#""contracts":["#, unreadable)))]);
+    assert!(matches!(&deeds[..], [Deed::Log(text)] if text.contains("weight")), "{deeds:?}");
+    let new = fields("00000000000000ab", "units=2,shard=0,hosts=2")
+        .map(|(name, value)| (name, if value == "more" { "new" } else { value }));
+    assert_eq!(world.core.check(&request("GET", TARGET, &new, "")).expect_err("as it was").status, 400);
 }
 
 /// The module knows op types and plans by their places: whatever order a new file has them in, what is open must stay
