Read settings that changed once before their op types and plans are sorted

Cause: reading the change again: `places::in_places` walked a list's `count` before anything had checked it. A file whose "contracts" is an object with a count of 900,000,000,000 in place of a list ended the program at SIGHUP for want of memory.

Change: the settings are read and put to the module first, and sorted only then.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -335,10 +335,13 @@
 
     /// Settings that the module cannot act on are not taken; what is open goes on under its numbers.
     fn changed(&mut self, settings: Settings) {
-        let placed = places::in_places(&self.settings, &settings);
-        match names(&settings).and_then(|_| names(&placed)) {
-            Ok(names) => {
-                let settings = placed;
+        // Danger: only what has been read once is sorted, or a count of nothing would be walked through.
+        let in_places = |_| {
+            let placed = places::in_places(&self.settings, &settings);
+            names(&placed).map(|names| (names, placed))
+        };
+        match names(&settings).and_then(in_places) {
+            Ok((names, settings)) => {
                 self.names = names;
                 self.settings = settings.clone();
                 self.grace = grace(&settings);
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -407,6 +407,9 @@
     let deeds = world.tell(vec![Input::Changed(read(&SETTINGS.replace("profiles", "nothing")))]);
     assert!(matches!(&deeds[..], [Deed::Log(text)] if text.contains("op_types.count")), "{deeds:?}");
     assert_eq!(world.core.check(&look(1)).expect_err("the former hold").status, 400);
+    let endless = SETTINGS.replace(r#""contracts":["#, r#""contracts":{"count":900000000000},"others":["#);
+    let deeds = world.tell(vec![Input::Changed(read(&endless))]);
+    assert!(matches!(&deeds[..], [Deed::Log(text)] if text.contains("plans.0.name")), "{deeds:?}");
     // What the module cannot act on must not be asked for either.
     let unreadable = r#""contracts":[{"name":"new","rate":5.0,"weight":"heavy"},"#;
     let deeds = world.tell(vec![Input::Changed(read(&SETTINGS.replace(r#""contracts":["#, unreadable)))]);
