--- a/src/choice.rs
+++ b/src/choice.rs
@@ -307,12 +307,6 @@
 
 /// The op types and plans that settings name, once all that rules are kept by can be read.
 fn figures(s: &Settings) -> Result<(Vec<OpType>, Vec<Plan>), String> {
-    for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
-        span(s, name)?;
-    }
-    for name in READ_LATER.split_whitespace() {
-        stated(s, name, span)?;
-    }
     let word = |name: &str| s.get(name).map(String::as_str);
     if !matches!(word("discovery"), None | Some("pushed" | "asked")) {
         return Err("discovery".into());
@@ -355,6 +349,12 @@
             due: stated(s, &name("reserve"), number)?,
         });
     }
+    for name in ["gateways", "tick", "rules.cold_time", "rules.fall_time"] {
+        span(s, name)?;
+    }
+    for name in READ_LATER.split_whitespace() {
+        stated(s, name, span)?;
+    }
     let best = op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
     op_types.iter_mut().for_each(|op_type| op_type.utility /= best);
     let of_all = |of: &dyn Fn(&Plan) -> f64| {
