--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -200,18 +200,20 @@
             return Ok(self.write(bytes).await.map(|()| self.stays(persists)));
         }
         let ask = self.hub.check(&request)?;
-        let (target, shard, left) = (request.target, ask.shard, ask.left);
+        let (id, target, shard, left) = (ask.id.clone(), request.target, ask.shard, ask.left);
+        tracing::debug!(id, %target, shard, ?left, phase = ?self.hub.phase(), "taken");
         let (client, mut answered) = self.hub.ask(ask, self.begun);
         let reply = tokio::select! {
             reply = &mut answered => reply,
             () = self.gone(requests) => {
+                tracing::debug!(id, "client left");
                 self.hub.left(client);
                 return Ok(None);
             }
         };
         let Ok(reply) = reply else { return Ok(None) };
         let took = self.hub.clock.now().saturating_sub(self.begun);
-        tracing::debug!(%target, shard, ?left, ?took, %reply, "answered");
+        tracing::debug!(id, %target, shard, ?left, ?took, %reply, "answered");
         let bytes = rendered(&reply, !self.stays(persists));
         Ok(self.write(bytes).await.map(|()| self.stays(persists)))
     }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -105,6 +105,10 @@
         self.core.borrow().begin(call, self.clock.now())
     }
 
+    pub fn id(&self, call: Call) -> Option<Box<str>> {
+        self.core.borrow().id(call).map(Box::from)
+    }
+
     pub fn open(&self) -> usize {
         self.core.borrow().open()
     }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -169,9 +169,11 @@
     written: &Cell<bool>,
 ) -> (Returned, Duration) {
     let (due, asked) = (hub.clock.instant(until).into(), hub.clock.now());
+    let id = hub.id(call).unwrap_or_default();
+    tracing::debug!(id, op = call.op.0, call.dispatch, store = store.0, until = ?until.saturating_sub(asked), "sent on");
     let (returned, at) = carried(hub, call, address, due, written).await;
     let took = at.saturating_sub(asked);
-    tracing::debug!(op = call.op.0, call.dispatch, store = store.0, ?took, %returned, "returned");
+    tracing::debug!(id, op = call.op.0, call.dispatch, store = store.0, ?took, %returned, "returned");
     (returned, at)
 }
 
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -264,6 +264,11 @@
         self.listed
     }
 
+    /// The id that its client gave the op, for as long as the op is known here.
+    pub fn id(&self, call: Call) -> Option<&str> {
+        self.ops.get(&call.op).map(|door| &*door.ask.id)
+    }
+
     /// Ops without their final answer.
     pub fn open(&self) -> usize {
         self.clients.len()
