--- a/crates/cli/tests/platform/common.rs
+++ b/crates/cli/tests/platform/common.rs
@@ -43,12 +43,24 @@
     )
 }
 
+/// The same for op types whose clients wait far longer than the time from SIGTERM to SIGKILL.
+pub fn patient(discovery: SocketAddr, sockets: usize) -> String {
+    let longer = |text: String, from: &str, to: &str| text.replace(from, to);
+    let text = longer(config(discovery, sockets), r#""promiseS":0.4"#, r#""promiseS":2.0"#);
+    let text = longer(text, r#""deadlineS":2.0"#, r#""deadlineS":20.0"#);
+    longer(text, r#""deadlineS":3.0"#, r#""deadlineS":30.0"#)
+}
+
 impl Node {
     pub async fn start(discovery: &Discovery, sockets: usize) -> Node {
+        Node::configured(&config(discovery.address, sockets)).await
+    }
+
+    pub async fn configured(config: &str) -> Node {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let name = format!("node-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        std::fs::write(&file, config(discovery.address, sockets)).expect("a folder of the build's own");
+        std::fs::write(&file, config).expect("a folder of the build's own");
         let mut command = Command::new(env!("CARGO_BIN_EXE_umbertray"));
         command.arg("node").env("ROUTER_CONFIG", &file).stdout(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn().expect("the program of this build");
@@ -63,11 +75,19 @@
     /// One gateway, and one store that does what the script says and has shard 0.
     pub async fn with_store(
         script: impl Fn(usize) -> Act + Send + Sync + 'static,
+    ) -> (Node, Store, Discovery) {
+        Node::with(config, 256, script).await
+    }
+
+    pub async fn with(
+        config: fn(SocketAddr, usize) -> String,
+        sockets: usize,
+        script: impl Fn(usize) -> Act + Send + Sync + 'static,
     ) -> (Node, Store, Discovery) {
         let discovery = Discovery::start().await.expect("loopback");
         let store = Store::start(move |n, _| script(n)).await.expect("loopback");
         discovery.list("s0", store.address, 0, "ready");
-        let node = Node::start(&discovery, 256).await;
+        let node = Node::configured(&config(discovery.address, sockets)).await;
         node.ready().await;
         (node, store, discovery)
     }
--- a/crates/cli/tests/platform/signals.rs
+++ b/crates/cli/tests/platform/signals.rs
@@ -3,7 +3,7 @@
 use nix::sys::signal::Signal;
 use umbertray_standin::platform::{Act, Discovery, ok};
 
-use crate::common::{Node, config, op, within};
+use crate::common::{Node, config, op, patient, within};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn sigterm_answers_what_was_taken_and_what_still_comes_and_ends() {
@@ -53,6 +53,75 @@
     assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
 }
 
+/// Days of restarts lost what gateways had taken before SIGTERM: it kept its clients' time, the process did not.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_taken_before_sigterm_is_answered_though_its_client_would_wait_longer() {
+    let (mut node, store, _discovery) = Node::with(patient, 256, |_| Act::Hold).await;
+    let mut callers = Vec::new();
+    for n in 0..30 {
+        let mut caller = node.connect().await;
+        caller.write(&op(["look", "order"][n % 2], 0, n as u64, 20_000)).await;
+        callers.push(caller);
+    }
+    within(5, "an op at the store", store.until(|seen| !seen.is_empty())).await;
+    let began = Instant::now();
+    // The end is the same however often it is asked for, and whatever else is.
+    [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM].into_iter().for_each(|signal| node.signal(signal));
+    for (n, caller) in callers.iter_mut().enumerate() {
+        let status = caller.answer().await.expect("a whole answer").head.status;
+        assert!([500, 503].contains(&status), "{n}: {status}");
+    }
+    assert!(node.ended().await.success());
+    assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
+}
+
+/// The listener went at once where the shortest op timeout is longer than the time to SIGKILL.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_connections_are_served_after_sigterm_however_long_clients_wait() {
+    let (mut node, _store, _discovery) = Node::with(patient, 256, |_| Act::Write(ok("served"))).await;
+    node.signal(Signal::SIGTERM);
+    let not_ready = async {
+        loop {
+            let mut late = node.connect().await;
+            late.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            if late.answer().await.expect("an answer").head.status == 503 {
+                return;
+            }
+        }
+    };
+    within(5, "it says that it is not ready", not_ready).await;
+    for n in 0..3 {
+        assert_eq!(node.connect().await.ask(&op("order", 0, n, 20_000)).await.0, 200);
+    }
+    assert!(node.ended().await.success());
+}
+
+/// Cut to the end of the process, the time left told the module that the client had waited through earlier tries.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_op_is_served_after_sigterm_though_its_time_goes_beyond_the_end() {
+    let store = |_| Act::WriteAfter(Duration::from_millis(100), ok("served"));
+    let (mut node, _store, _discovery) = Node::with_store(store).await;
+    let mut caller = node.connect().await;
+    node.signal(Signal::SIGTERM);
+    for n in 0..20 {
+        assert_eq!(caller.ask(&op("order", 0, n, 3000)).await, (200, "served".into()), "{n}");
+    }
+    assert!(node.ended().await.success());
+}
+
+/// A request may be on its way, or lie unread, when the gateway has stopped listening: no other connection can be made.
+#[tokio::test(flavor = "multi_thread")]
+async fn who_connected_and_has_not_asked_yet_is_answered_after_the_listener_has_gone() {
+    let (mut node, _store, _discovery) = Node::with(patient, 256, |_| Act::Write(ok("served"))).await;
+    let (mut silent, mut heard) = (node.connect().await, node.connect().await);
+    assert_eq!(heard.ask(&op("look", 0, 1, 20_000)).await.0, 200);
+    node.signal(Signal::SIGTERM);
+    assert_eq!(heard.answer().await, None, "an idle connection ends");
+    silent.write(&op("look", 0, 2, 20_000)).await;
+    assert_eq!(silent.answer().await.expect("a whole answer").head.status, 200);
+    assert!(node.ended().await.success());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn sighup_moves_the_watch_and_keeps_the_list() {
     let (node, store, first) = Node::with_store(|_| Act::Write(ok("served"))).await;
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -25,6 +25,10 @@
 const LINGER: f64 = 1.0 / 6.0;
 /// The part of the time between the longest op timeout and SIGKILL by which all is to be answered after SIGTERM.
 const LEAVING: f64 = 0.7;
+/// Against the shortest target latency: how long before that the last ops are taken, since an answer takes about so
+/// long at a store that bears its load; and how long before it all are given up, since looks at them are that rare.
+const LAST: f64 = 0.5;
+const GIVEN_UP: f64 = 0.125;
 /// Parts of the idle time in the settings after which connections to stores and of clients are closed.
 const STORE_IDLE: f64 = 0.5;
 const CLIENT_IDLE: f64 = 0.5;
@@ -43,8 +47,9 @@
     pub store_idle: Duration,
     pub client_idle: Duration,
     pub speak: Duration,
-    /// After SIGTERM: until when ops are taken, and until when all are answered.
+    /// After SIGTERM: until when ops are taken, until when those open are tried, and until when all are answered.
     pub taking: Duration,
+    pub trying: Duration,
     pub leaving: Duration,
     pub linger: Duration,
 }
@@ -59,9 +64,10 @@
         let timeouts = settings.keys().filter(|name| name.ends_with(".op_timeout"));
         let timeouts = timeouts.map(|name| span(name)).collect::<Result<Vec<_>, _>>()?;
         let missing = "settings: op_types.count is missing";
-        let (longest, shortest) =
-            (timeouts.iter().max().ok_or(missing)?, timeouts.iter().min().ok_or(missing)?);
-        let (longest, shortest) = (*longest, *shortest);
+        let longest = *timeouts.iter().max().ok_or(missing)?;
+        let targets = settings.keys().filter(|name| name.ends_with(".target_latency"));
+        let targets = targets.map(|name| span(name)).collect::<Result<Vec<_>, _>>()?;
+        let shortest = *targets.iter().min().ok_or(missing)?;
         let leaving = longest.min(words::KILLED_AFTER) + words::KILLED_AFTER_THAT.mul_f64(LEAVING);
         let idle = span("limits.conn_idle")?;
         let memory = (told.limits.memory_mb * MEGABYTE) as usize;
@@ -79,7 +85,9 @@
             store_idle: idle.mul_f64(STORE_IDLE),
             client_idle: idle.mul_f64(CLIENT_IDLE),
             speak: longest.mul_f64(SPEAK),
-            taking: leaving.saturating_sub(shortest),
+            // Danger: whoever connects after the listener has gone is not served at all.
+            taking: leaving.saturating_sub(shortest.mul_f64(LAST)).max(words::STILL_COMING),
+            trying: leaving.saturating_sub(shortest.mul_f64(GIVEN_UP)),
             leaving,
             linger: longest.mul_f64(LINGER),
         })
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::future::pending;
+use std::future::{pending, ready};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, unconstrained, yield_now};
 use tokio::time::{sleep, timeout, timeout_at};
 use umbertray_http::Malformed;
 use umbertray_http::server::{self, Next, Request, Requests};
@@ -36,7 +36,8 @@
 #[derive(Default)]
 pub struct Guests {
     open: RefCell<BTreeMap<u64, Guest>>,
-    gone: Notify,
+    /// One has ended, or stands otherwise.
+    changed: Notify,
 }
 
 impl Guests {
@@ -45,8 +46,21 @@
     }
 
     pub async fn empty(&self) {
-        while self.len() > 0 {
-            self.gone.notified().await;
+        self.until(|open| open.is_empty()).await;
+    }
+
+    /// Returns once no whole request waits for its answer.
+    pub async fn answered(&self) {
+        self.until(|open| open.values().all(|guest| guest.standing != Standing::Busy)).await;
+    }
+
+    async fn until(&self, so: impl Fn(&BTreeMap<u64, Guest>) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            if so(&self.open.borrow()) {
+                return;
+            }
+            changed.await;
         }
     }
 
@@ -54,6 +68,7 @@
         if let Some(guest) = self.open.borrow_mut().get_mut(&id) {
             guest.standing = standing;
         }
+        self.changed.notify_waiters();
     }
 
     /// Ends the connection that is missed least; false where all are at work.
@@ -69,14 +84,29 @@
     }
 }
 
-/// Takes new connections until the gateway closes.
+/// What is there already.
+async fn at_once<T>(future: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        value = unconstrained(future) => Some(value),
+        () = ready(()) => None,
+    }
+}
+
+/// Takes new connections until the gateway closes. Danger: those that the system has accepted by then are reset with
+/// the listener, their requests lost.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
     let mut phases = hub.phases();
     for id in 0.. {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = phases.wait_for(|phase| matches!(phase, Phase::Closing(_))) => return,
+            biased;
+            accepted = listener.accept() => Some(accepted),
+            _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+                yield_now().await;
+                at_once(listener.accept()).await
+            }
         };
+        let Some(accepted) = accepted else { return };
         let stream = match accepted {
             Ok((stream, _)) => stream,
             // Out of descriptors, most likely: trying at once would spin.
@@ -94,11 +124,12 @@
         _ = stream.set_nodelay(true);
         let standing = Standing::Unheard(Instant::now());
         hub.guests.open.borrow_mut().insert(id, Guest { standing, task: None });
-        let (own, client) = (hub.clone(), Client { hub: hub.clone(), id, stream, begun: Duration::ZERO });
+        let (own, begun) = (hub.clone(), Duration::ZERO);
+        let client = Client { hub: hub.clone(), id, stream, heard: false, begun };
         let task = tokio::task::spawn_local(async move {
             client.serve().await;
             own.guests.open.borrow_mut().remove(&id);
-            own.guests.gone.notify_waiters();
+            own.guests.changed.notify_waiters();
         });
         if let Some(guest) = hub.guests.open.borrow_mut().get_mut(&id) {
             guest.task = Some(task.abort_handle());
@@ -110,6 +141,8 @@
     hub: Rc<Hub>,
     id: u64,
     stream: TcpStream,
+    /// A whole request has come.
+    heard: bool,
     /// When the first byte of the request that is next, or now open, was read.
     begun: Duration,
 }
@@ -123,6 +156,7 @@
                 Ok(None) => return,
                 Err(refused) => return self.refuse(refused).await,
                 Ok(Some(request)) => {
+                    self.heard = true;
                     self.hub.guests.at(self.id, Standing::Busy);
                     let persists = match self.answer(&mut requests, request).await {
                         Ok(Some(persists)) => persists,
@@ -152,20 +186,29 @@
                 Next::Continue => self.write(Bytes::from_static(server::CONTINUE)).await.unwrap_or_default(),
                 Next::More => {}
             }
+            // Danger: who connected and has asked nothing yet is about to, and finds no listener any more.
+            let stays = requests.begun() || !self.heard;
             let begun = requests.begun();
             if begun && part.is_none() {
                 part = Some(patience.min(Instant::now() + self.hub.bounds.speak));
             }
             let closing = async {
-                match begun {
+                match stays {
                     true => pending().await,
-                    false => _ = phases.wait_for(|phase| matches!(phase, Phase::Closing(_))).await,
+                    false => _ = phases.wait_for(|phase| *phase == Phase::Closing).await,
                 }
             };
             let read = self.read(requests);
             let read = tokio::select! {
-                read = timeout_at(part.unwrap_or(patience).into(), read) => read,
-                () = closing => return Ok(None),
+                biased;
+                read = timeout_at(part.unwrap_or(patience).into(), read) => Some(read),
+                () = closing => None,
+            };
+            let Some(read) = read else {
+                match self.last_look(requests).await {
+                    true => continue,
+                    false => return Ok(None),
+                }
             };
             match read {
                 Ok(Some(())) => {}
@@ -181,6 +224,12 @@
         }
     }
 
+    /// Before a connection is closed between requests: whether another has come that was not read yet.
+    async fn last_look(&mut self, requests: &mut Requests) -> bool {
+        yield_now().await;
+        at_once(self.read(requests)).await.flatten().is_some()
+    }
+
     /// Reads what there is; nothing once the client has gone.
     async fn read(&mut self, requests: &mut Requests) -> Option<()> {
         let fresh = !requests.begun();
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -22,10 +22,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     Serving,
-    /// SIGTERM has come: all goes on, but must have its answer by then.
-    Leaving(Duration),
-    /// No new connections, and those without an open request end.
-    Closing(Duration),
+    /// SIGTERM has come: all goes on, and is answered before the end.
+    Leaving,
+    /// No new connections, and those that were answered end.
+    Closing,
 }
 
 /// A dispatch at work.
@@ -84,13 +84,9 @@
     }
 
     /// Hands over an op; its final answer comes through the channel.
-    pub fn ask(&self, mut ask: Ask, begun: Duration) -> (ClientId, oneshot::Receiver<Reply>) {
+    pub fn ask(&self, ask: Ask, begun: Duration) -> (ClientId, oneshot::Receiver<Reply>) {
         let client = ClientId(self.next_client.replace(self.next_client.get() + 1));
         let (answer, answered) = oneshot::channel();
-        // Danger: what SIGKILL finds without an answer is lost.
-        if let Phase::Leaving(end) | Phase::Closing(end) = self.phase() {
-            ask.left = ask.left.min(end.saturating_sub(begun));
-        }
         self.answers.borrow_mut().insert(client, answer);
         self.post(Input::Ask { client, ask, begun });
         (client, answered)
@@ -122,7 +118,7 @@
     }
 
     pub fn closing(&self) -> bool {
-        matches!(self.phase(), Phase::Closing(_))
+        self.phase() == Phase::Closing
     }
 
     pub fn phases(&self) -> watch::Receiver<Phase> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,7 +17,8 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch as watched;
+use tokio::sync::{Notify, watch as watched};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use umbertray_clock::Clock;
 use umbertray_platform::config::ConfigError;
 use umbertray_platform::{Config, Core, Input};
@@ -50,13 +51,14 @@
 /// Runs one gateway until SIGTERM or SIGINT; to be awaited inside a `LocalSet`.
 /// `listening` is told the address once it listens.
 pub async fn run(file: PathBuf, listening: impl FnOnce(SocketAddr)) -> Result<(), NodeError> {
+    // Danger: a signal that comes before this ends the process at once.
+    let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
     let config = read(&file)?;
     let clock = Clock::start();
     let core = Core::start(&config, clock.now()).map_err(NodeError::Settings)?;
     let bounds = Bounds::of(&config).map_err(NodeError::Settings)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
     let listen = |error| NodeError::Listen { address: config.listen, error };
     let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
     let address = listener.local_addr().map_err(listen)?;
@@ -70,11 +72,14 @@
     listening(address);
     let mut settings = config.settings;
     let mut turns = tokio::task::spawn_local(hub::run(hub.clone()));
+    let told_to_end = Notify::new();
+    let mut stopped = std::pin::pin!(stop(&hub, &told_to_end));
     loop {
         tokio::select! {
             ended = &mut turns => return ended.unwrap_or_else(|e| Err(e.to_string())).map_err(NodeError::Fatal),
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            () = &mut stopped => return Ok(()),
+            _ = terminate.recv() => told_to_end.notify_one(),
+            _ = interrupt.recv() => told_to_end.notify_one(),
             _ = hangup.recv() => match read(&file) {
                 Ok(new) => {
                     tracing::info!(discovery = %new.discovery, "configuration read again");
@@ -89,22 +94,30 @@
             },
         }
     }
-    tracing::info!(open = hub.open(), clients = hub.guests.len(), "stopping");
-    tokio::select! {
-        ended = &mut turns => ended.unwrap_or_else(|e| Err(e.to_string())).map_err(NodeError::Fatal),
-        () = stop(&hub) => Ok(()),
-    }
 }
 
-/// Goes on serving for as long as what comes can still be answered before SIGKILL: nobody else serves these clients
-/// until the next run of this gateway. Then ends idle connections, and returns when all that was taken is answered.
-async fn stop(hub: &Hub) {
-    let end = hub.clock.now() + hub.bounds.leaving;
-    hub.enter(Phase::Leaving(end));
-    tokio::time::sleep(hub.bounds.taking).await;
-    hub.enter(Phase::Closing(end));
-    let late = tokio::time::timeout_at(hub.clock.instant(end).into(), hub.guests.empty()).await;
-    if late.is_err() {
-        tracing::warn!(open = hub.open(), "stopped with open connections");
+/// Once told so, goes on serving for as long as what comes can still be answered before SIGKILL: nobody else serves
+/// these clients until the next run of this gateway. Then ends idle connections, and returns when all that was taken
+/// is answered.
+async fn stop(hub: &Hub, told: &Notify) {
+    told.notified().await;
+    let Bounds { taking, trying, leaving, speak, .. } = hub.bounds;
+    let at = |span| hub.clock.instant(hub.clock.now() + span).into();
+    let (closing, end): (Instant, Instant) = (at(taking), at(leaving));
+    tracing::info!(open = hub.open(), clients = hub.guests.len(), "stopping");
+    hub.post(Input::Ends(hub.clock.now() + trying));
+    hub.enter(Phase::Leaving);
+    sleep_until(closing).await;
+    hub.enter(Phase::Closing);
+    if timeout_at(end, hub.guests.empty()).await.is_ok() {
+        return;
+    }
+    // Danger: what was taken is lost without its whole answer, and this process may have come to it late. Whoever has
+    // not sent a whole request by now, or has had an answer and does not close, holds nothing up.
+    let answered = timeout(speak, hub.guests.answered()).await.is_ok();
+    let clients = hub.guests.len();
+    match answered {
+        true => tracing::info!(clients, "stopped with open connections"),
+        false => tracing::warn!(open = hub.open(), clients, "stopped with requests unanswered"),
     }
 }
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -84,6 +84,8 @@
     ListFailed,
     /// The settings from now on.
     Changed(Settings),
+    /// This gateway ends: each op is to have its final answer by then.
+    Ends(Duration),
     /// Time has passed up to what [`Core::wake`] told.
     Woken,
 }
@@ -334,6 +336,7 @@
             }
             Input::ListFailed => self.events.push(Event::List(ListNews::Failed)),
             Input::Changed(settings) => self.changed(settings),
+            Input::Ends(at) => self.events.push(Event::Ends { at }),
             Input::Woken => {}
         }
     }
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -341,6 +341,24 @@
     assert!(matches!(&ends[..], [(own, Reply::Throttled { .. })] if *own == client), "{ends:?}");
 }
 
+#[test]
+fn each_op_is_answered_before_the_gateway_ends() {
+    let mut world = World::new();
+    let (first, _) = world.ask(&order(1));
+    let end = world.now + ms(300);
+    let mut deeds = world.tell(vec![Input::Ends(end)]);
+    deeds.extend(world.pass(ms(100)));
+    assert_eq!(answers(&deeds), []);
+    let (second, sent_on) = world.ask(&look(2));
+    deeds.extend(sent_on);
+    // Looks are a sixteenth of the target latency apart.
+    deeds.extend(world.pass(ms(213)));
+    let mut answered: Vec<ClientId> = answers(&deeds).into_iter().map(|(client, _)| client).collect();
+    answered.sort();
+    assert_eq!(answered, [first, second]);
+    assert_eq!(world.core.open(), 0);
+}
+
 #[test]
 fn a_late_return_ends_the_record_and_says_nothing() {
     let mut world = World::new();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -275,6 +275,7 @@
     subscribe_at: Option<Duration>,
     sweep_at: Duration,
     stalled: bool,
+    ends: Option<Duration>,
     actions: Vec<Action>,
 }
 
@@ -423,6 +424,11 @@
             Event::Placed { op, shard } => _ = self.ops.get_mut(&op).map(|t| t.op.shard = Some(shard)),
             Event::Changed { settings } => self.changed(settings),
             Event::Moved { volume, plan, gateways } => self.moved(volume, plan, gateways),
+            Event::Ends { at } => {
+                // Danger: what is open when the gateway ends is lost, however long its client would wait.
+                self.ops.values_mut().for_each(|taken| taken.end_at = taken.end_at.min(at));
+                self.ends = Some(at);
+            }
             Event::Remember { promised } => self.remember(promised),
             Event::Recalled { age, promised, stores, volumes } => {
                 self.recall(age, promised, (stores, volumes))
@@ -583,7 +589,7 @@
         let waited = op_type.longest_left.saturating_sub(op.left);
         let taken = Taken {
             target_at: self.now + op_type.target.saturating_sub(waited),
-            end_at: self.now + op.left.saturating_sub(margin),
+            end_at: (self.now + op.left.saturating_sub(margin)).min(self.ends.unwrap_or(Duration::MAX)),
             held_at: None,
             dispatches: Vec::new(),
             ended: false,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,6 +154,10 @@
         plan: usize,
         gateways: f64,
     },
+    /// This gateway ends: ops without their final answer by then, those that still come among them, are given up.
+    Ends {
+        at: Duration,
+    },
     /// What is known now is to be told for keeping; its floors hold for so long.
     Remember {
         promised: Duration,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -111,6 +111,36 @@
     assert!(world.sides[0].ops[&OpId(1)].ended);
 }
 
+/// What a gateway had taken was lost with it, its clients' time being longer than the gateway's own.
+#[test]
+fn all_that_is_open_has_its_answer_before_the_gateway_ends() {
+    let mut patient = settings();
+    for i in 0..4 {
+        patient.insert(format!("op_types.{i}.target_latency"), "4".into());
+        patient.insert(format!("op_types.{i}.op_timeout"), "40".into());
+    }
+    let mut world = World::with(at(0), vec![listing(0, 0, None, StoreState::Ready)], patient);
+    (0..30).for_each(|id| world.arrive(0, Op { left: ms(40_000), ..op(id, 1, id as usize % 3) }));
+    let end = world.now + ms(3000);
+    world.tell(0, vec![Event::Ends { at: end }]);
+    assert!(world.sides[0].ops.values().any(|seen| !seen.sent.is_empty()));
+    assert!(world.sides[0].ops.values().all(|seen| !seen.ended), "nothing is given up before");
+    // What still comes goes on to a store, its time being that of its client, and is answered with the rest.
+    world.pass(ms(1500));
+    world.arrive(0, Op { left: ms(40_000), shard: None, ..op(50, 2, 0) });
+    world.pass(ms(1500));
+    let out = |seen: &world::Seen| seen.sent.iter().all(|sent| sent.ends <= end);
+    assert!(
+        world.sides[0].ops.values().filter(|seen| seen.at > at(0)).all(out),
+        "nothing is sent past the end"
+    );
+    // Looks are a sixteenth of the target latency apart.
+    world.pass(ms(250));
+    assert!(world.sides[0].ops.values().all(|seen| seen.ended));
+    world.arrive(0, Op { left: ms(40_000), ..op(60, 3, 0) });
+    assert!(world.sides[0].ops[&OpId(60)].ended, "nothing is held that nobody will answer");
+}
+
 #[test]
 fn a_late_op_is_given_up_at_once_and_not_kept() {
     let mut world = one_store();
