Close no connection for room with its request unread; say no to whom there is none for

Cause, crates/node/src/client.rs: `Guests::make_room` aborted the task of the connection that had been silent longest without a look at what it had not read yet, the first request of a usual client included; where all were at work, `accept` dropped the new connection, which the system had accepted and its client had written to.

Change: the connection that is missed least is asked to go. Its own task reads what is there: a whole request is answered first, and one that never asked anything is told 503 and when to come back before it is closed. Where all are at work, the new one's request is read and answered so at once; a twentieth of the descriptors, taken from the clients' part, is for those. What they are told is the shortest target latency, within the longest time to keep away that the settings allow.

--- a/crates/cli/tests/platform/bad_peers.rs
+++ b/crates/cli/tests/platform/bad_peers.rs
@@ -106,6 +106,32 @@
     assert_eq!(usual.ask(&op("look", 0, 1001, 2000)).await.0, 200, "one that was served before goes on");
 }
 
+/// Days of bad clients lost the first request of usual ones: a connection was closed for room with it unread.
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_who_has_asked_is_closed_without_an_answer_for_want_of_room() {
+    let discovery = Discovery::start().await.expect("loopback");
+    let store = Store::start(|_, _| Act::Hold).await.expect("loopback");
+    discovery.list("s0", store.address, 0, "ready");
+    let node = Node::start(&discovery, 40).await;
+    node.ready().await;
+    let mut callers = Vec::new();
+    for n in 0..120 {
+        let mut caller = node.connect().await;
+        caller.write(&op("order", 0, n, 3000)).await;
+        callers.push(caller);
+    }
+    // The store says nothing, so that those there is room for stay at work: the last is answered before the first.
+    let last = callers.pop().expect("one of many").answer().await.expect("a whole answer");
+    assert_eq!(last.head.status, 503);
+    let told = last.head.headers.one("Retry-After").expect("once").expect("when to come back");
+    assert_eq!(told, b"0.400");
+    let mut refused = 0;
+    for caller in &mut callers {
+        refused += u32::from(caller.answer().await.expect("a whole answer").head.status == 503);
+    }
+    assert!(refused >= 90, "{refused}");
+}
+
 /// A store's answers that are none: the dispatch may have run, nothing of the answer reaches the client.
 #[tokio::test(flavor = "multi_thread")]
 async fn spoilt_answers_are_failed_dispatches() {
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -5,8 +5,10 @@
 use umbertray_http::Limits;
 use umbertray_platform::{Config, config, words};
 
-/// Parts of the descriptors for clients and for stores; the rest is for the listener, discovery and the system.
-const CLIENTS: f64 = 0.6;
+/// Parts of the descriptors for clients, for those that there is no room for until they have their answer, and for
+/// stores; the rest is for the listener, discovery and the system.
+const CLIENTS: f64 = 0.55;
+const TURNED_AWAY: f64 = 0.05;
 const STORES: f64 = 0.3;
 /// The part of all store connections that one store may have.
 const ONE_STORE: f64 = 0.5;
@@ -41,6 +43,9 @@
     pub answers: usize,
     pub ahead: usize,
     pub clients: usize,
+    pub turned_away: usize,
+    /// What those are told.
+    pub retry_after: Duration,
     pub stores: usize,
     pub one_store: usize,
     pub connect: Duration,
@@ -79,6 +84,8 @@
             answers: part(memory, ANSWERS),
             ahead: part(words::BODY, AHEAD),
             clients: part(told.limits.sockets, CLIENTS),
+            turned_away: part(told.limits.sockets, TURNED_AWAY),
+            retry_after: span("limits.max_retry_after").map_or(shortest, |most| most.min(shortest)),
             stores,
             one_store: part(stores, ONE_STORE),
             connect: span("limits.connect_timeout")?,
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -10,12 +10,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::{AbortHandle, unconstrained, yield_now};
+use tokio::task::{unconstrained, yield_now};
 use tokio::time::{sleep, timeout, timeout_at};
 use umbertray_http::Malformed;
 use umbertray_http::server::{self, Next, Request, Requests};
 use umbertray_platform::{Refused, Reply, words};
 
+use crate::bounds::Bounds;
 use crate::hub::{Hub, Phase};
 
 /// What a connection is at; the smaller, the sooner it is closed where room is needed.
@@ -27,9 +28,21 @@
     Busy,
 }
 
+/// Whether there is room for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stay {
+    Welcome,
+    /// Room is wanted: it ends after what it has asked by now.
+    Asked,
+    /// There was none when it came: it is told when to come back.
+    TurnedAway,
+}
+
 struct Guest {
     standing: Standing,
-    task: Option<AbortHandle>,
+    /// Asked to make room, once.
+    asked: bool,
+    ask: Rc<Notify>,
 }
 
 /// The connections that are open.
@@ -71,17 +84,40 @@
         self.changed.notify_waiters();
     }
 
-    /// Ends the connection that is missed least; false where all are at work.
-    fn make_room(&self) -> bool {
-        let mut open = self.open.borrow_mut();
-        let least = open.iter().filter(|(_, guest)| guest.standing != Standing::Busy);
-        let Some(id) = least.min_by_key(|(_, guest)| guest.standing).map(|(id, _)| *id) else { return false };
-        if let Some(Guest { standing, task: Some(task) }) = open.remove(&id) {
-            tracing::debug!(?standing, open = open.len(), "client closed for room");
-            task.abort();
-        }
+    /// Asks the connection that is missed least to end, and waits for what it does; false where there is none to ask.
+    /// Danger: a request may lie unread in it; only its own task can tell.
+    async fn make_room(&self) -> bool {
+        let least = {
+            let mut open = self.open.borrow_mut();
+            let may_go = |guest: &Guest| !guest.asked && guest.standing != Standing::Busy;
+            let able = open.iter_mut().filter(|(_, guest)| may_go(guest));
+            able.min_by_key(|(_, guest)| guest.standing).map(|(id, guest)| {
+                guest.asked = true;
+                guest.ask.notify_one();
+                *id
+            })
+        };
+        let Some(id) = least else { return false };
+        self.until(|open| open.get(&id).is_none_or(|guest| guest.standing == Standing::Busy)).await;
         true
     }
+
+    /// Waits until one more connection can be had; false if only to be turned away.
+    async fn room(&self, bounds: &Bounds) -> bool {
+        loop {
+            let changed = self.changed.notified();
+            if self.len() < bounds.clients {
+                return true;
+            }
+            if self.make_room().await {
+                continue;
+            }
+            if self.len() < bounds.clients + bounds.turned_away {
+                return false;
+            }
+            changed.await;
+        }
+    }
 }
 
 /// What is there already.
@@ -112,28 +148,23 @@
             // Out of descriptors, most likely: trying at once would spin.
             Err(error) => {
                 tracing::warn!(%error, "no client accepted");
-                hub.guests.make_room();
-                sleep(hub.bounds.connect).await;
+                if !hub.guests.make_room().await {
+                    sleep(hub.bounds.connect).await;
+                }
                 continue;
             }
         };
-        if hub.guests.len() >= hub.bounds.clients && !hub.guests.make_room() {
-            tracing::debug!(open = hub.guests.len(), "client closed, all are at work");
-            continue;
-        }
+        let (own, ask, begun) = (hub.clone(), Rc::new(Notify::new()), Duration::ZERO);
+        let stay = if hub.guests.room(&hub.bounds).await { Stay::Welcome } else { Stay::TurnedAway };
         _ = stream.set_nodelay(true);
         let standing = Standing::Unheard(Instant::now());
-        hub.guests.open.borrow_mut().insert(id, Guest { standing, task: None });
-        let (own, begun) = (hub.clone(), Duration::ZERO);
-        let client = Client { hub: hub.clone(), id, stream, heard: false, begun };
-        let task = tokio::task::spawn_local(async move {
+        hub.guests.open.borrow_mut().insert(id, Guest { standing, asked: false, ask: ask.clone() });
+        let client = Client { hub: hub.clone(), id, stream, ask, stay, heard: false, begun };
+        tokio::task::spawn_local(async move {
             client.serve().await;
             own.guests.open.borrow_mut().remove(&id);
             own.guests.changed.notify_waiters();
         });
-        if let Some(guest) = hub.guests.open.borrow_mut().get_mut(&id) {
-            guest.task = Some(task.abort_handle());
-        }
     }
 }
 
@@ -141,6 +172,9 @@
     hub: Rc<Hub>,
     id: u64,
     stream: TcpStream,
+    /// Room is wanted.
+    ask: Rc<Notify>,
+    stay: Stay,
     /// A whole request has come.
     heard: bool,
     /// When the first byte of the request that is next, or now open, was read.
@@ -150,10 +184,12 @@
 impl Client {
     async fn serve(mut self) {
         let mut requests = Requests::new(self.hub.bounds.http);
-        let mut patience = Instant::now() + self.hub.bounds.speak;
+        let bounds = self.hub.bounds;
+        let first = if self.stay == Stay::TurnedAway { bounds.connect } else { bounds.speak };
+        let mut patience = Instant::now() + first;
         loop {
             match self.next(&mut requests, patience).await {
-                Ok(None) => return,
+                Ok(None) => return self.part().await,
                 Err(refused) => return self.refuse(refused).await,
                 Ok(Some(request)) => {
                     self.heard = true;
@@ -170,7 +206,7 @@
                         requests.bytes = BytesMut::new();
                     }
                     self.hub.guests.at(self.id, Standing::Idle(Instant::now()));
-                    patience = Instant::now() + self.hub.bounds.client_idle;
+                    patience = Instant::now() + bounds.client_idle;
                 }
             }
         }
@@ -186,6 +222,12 @@
                 Next::Continue => self.write(Bytes::from_static(server::CONTINUE)).await.unwrap_or_default(),
                 Next::More => {}
             }
+            if self.stay == Stay::Asked {
+                match self.last_look(requests).await {
+                    true => continue,
+                    false => return Ok(None),
+                }
+            }
             // Danger: who connected and has asked nothing yet is about to, and finds no listener any more.
             let stays = requests.begun() || !self.heard;
             let begun = requests.begun();
@@ -198,11 +240,16 @@
                     false => _ = phases.wait_for(|phase| *phase == Phase::Closing).await,
                 }
             };
+            let ask = self.ask.clone();
             let read = self.read(requests);
             let read = tokio::select! {
                 biased;
                 read = timeout_at(part.unwrap_or(patience).into(), read) => Some(read),
                 () = closing => None,
+                () = ask.notified() => {
+                    self.stay = Stay::Asked;
+                    continue;
+                }
             };
             let Some(read) = read else {
                 match self.last_look(requests).await {
@@ -249,6 +296,9 @@
             return Ok(self.write(bytes).await.map(|()| self.stays(persists)));
         }
         let ask = self.hub.check(&request)?;
+        if self.stay == Stay::TurnedAway {
+            return Ok(self.turn_away().await.map(|()| false));
+        }
         let (id, target, shard, left) = (ask.id.clone(), request.target, ask.shard, ask.left);
         tracing::debug!(id, %target, shard, ?left, phase = ?self.hub.phase(), "taken");
         let (client, mut answered) = self.hub.ask(ask, self.begun);
@@ -268,7 +318,7 @@
     }
 
     fn stays(&self, persists: bool) -> bool {
-        persists && !self.hub.closing()
+        persists && self.stay == Stay::Welcome && !self.hub.closing()
     }
 
     fn health(&self, request: &Request) -> Option<u16> {
@@ -300,8 +350,28 @@
         timeout(self.hub.bounds.speak, self.stream.write_all(&bytes)).await.ok()?.ok()
     }
 
+    async fn turn_away(&mut self) -> Option<()> {
+        tracing::debug!(open = self.hub.guests.len(), stay = ?self.stay, "client turned away");
+        let reply = Reply::Throttled { retry_after: self.hub.bounds.retry_after };
+        self.write(rendered(&reply, true)).await
+    }
+
+    /// Ends a connection that nothing more is read from. Danger: the first request of one that there is no room for may
+    /// be on its way.
+    async fn part(&mut self) {
+        if self.stay == Stay::Welcome || self.heard || self.turn_away().await.is_none() {
+            return;
+        }
+        match self.stay {
+            // Its room is waited for.
+            Stay::Asked => _ = self.stream.shutdown().await,
+            _ => self.linger().await,
+        }
+    }
+
     async fn refuse(&mut self, Refused { status, what }: Refused) {
         tracing::debug!(status, what, "request refused");
+        self.hub.guests.at(self.id, Standing::Busy);
         let body = format!("{what}\n");
         let kind: (&str, &[u8]) = ("Content-Type", b"text/plain");
         if self.write(server::answer(status, &[kind], body.as_bytes(), true)).await.is_some() {
@@ -310,6 +380,7 @@
     }
 
     /// Closes so that the client can read what was written: bytes of its that were not read would take that from it.
+    /// Where room is wanted, it has had its time to.
     async fn linger(&mut self) {
         self.hub.guests.at(self.id, Standing::Unheard(Instant::now()));
         let mut passed_over = [0; 4096];
@@ -317,7 +388,10 @@
             _ = self.stream.shutdown().await;
             while matches!(self.stream.read(&mut passed_over).await, Ok(1..)) {}
         };
-        _ = timeout(self.hub.bounds.linger, drain).await;
+        tokio::select! {
+            _ = timeout(self.hub.bounds.linger, drain) => {}
+            () = self.ask.notified() => {}
+        }
     }
 }
 
