Follow the list at its new address where it has to be asked for; drains went unheard

Seen by reading what happens at SIGHUP: where settings say that the list is asked for, the watch begins when the module asks. A new address ended the watch that stood and then waited to be asked again; the module, whose question had not failed, never did. The same held where the module wanted the whole list.

Cause: crates/node/src/watch.rs, follow: each turn of its loop waited for the question, not only the one after a failure.

The new test (the watch moves, in both ways of discovery) was seen to fail without the change.

--- a/crates/cli/tests/platform/common.rs
+++ b/crates/cli/tests/platform/common.rs
@@ -51,6 +51,13 @@
     longer(text, r#""deadlineS":3.0"#, r#""deadlineS":30.0"#)
 }
 
+/// The same where the list has to be asked for.
+pub fn asked_for(discovery: SocketAddr, sockets: usize) -> String {
+    config(discovery, sockets)
+        .replace("automatic", "subscribe")
+        .replace(r#""rules":{"#, r#""rules":{"askWithinS":2.0,"#)
+}
+
 impl Node {
     pub async fn start(discovery: &Discovery, sockets: usize) -> Node {
         Node::configured(&config(discovery.address, sockets)).await
--- a/crates/cli/tests/platform/signals.rs
+++ b/crates/cli/tests/platform/signals.rs
@@ -1,9 +1,10 @@
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use umbertray_standin::platform::{Act, Discovery, ok};
 
-use crate::common::{Node, config, op, patient, within};
+use crate::common::{Node, asked_for, config, op, patient, within};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn sigterm_answers_what_was_taken_and_what_still_comes_and_ends() {
@@ -122,9 +123,19 @@
     assert!(node.ended().await.success());
 }
 
+/// Where the list is asked for, it was not asked for again: no drain was heard of after the move.
+#[tokio::test(flavor = "multi_thread")]
+async fn sighup_moves_the_watch_of_a_list_that_is_asked_for() {
+    moves_the_watch(asked_for).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn sighup_moves_the_watch_and_keeps_the_list() {
-    let (node, store, first) = Node::with_store(|_| Act::Write(ok("served"))).await;
+    moves_the_watch(config).await;
+}
+
+async fn moves_the_watch(config: fn(SocketAddr, usize) -> String) {
+    let (node, store, first) = Node::with(config, 256, |_| Act::Write(ok("served"))).await;
     let second = Discovery::start().await.expect("loopback");
     second.list("s0", store.address, 0, "ready");
     within(5, "the first watch", first.until_asked(|asked| asked.len() >= 2)).await;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -51,7 +51,8 @@
     heard: bool,
 }
 
-/// Follows the list at the address that holds at the time. Where it has to be asked for, each watch begins when asked.
+/// Follows the list at the address that holds at the time. Where it has to be asked for, the first watch begins when the
+/// module asks, and so does the next after one that failed.
 pub async fn follow(
     hub: Rc<Hub>,
     mut address: watch::Receiver<SocketAddr>,
@@ -61,9 +62,10 @@
 ) {
     let mut own = Watch { hub: hub.clone(), held: None, heard: false };
     tracing::debug!(known, "following the list");
-    let (mut failures, mut draws) = (0u32, 0u64);
+    let (mut failures, mut draws, mut wanted) = (0u32, 0u64, !asked);
     loop {
-        if asked {
+        // Danger: the module that has asked does not ask again where the watch only moves, or begins with the whole list.
+        if !std::mem::replace(&mut wanted, true) {
             hub.subscribe.notified().await;
         }
         let at = *address.borrow_and_update();
@@ -83,6 +85,7 @@
             own.held = None;
         }
         hub.post(Input::ListFailed);
+        wanted = !asked;
         failures = if std::mem::take(&mut own.heard) { 0 } else { (failures + 1).min(8) };
         draws += 1;
         let wait = (FIRST_WAIT * f64::from(1 << failures)).min(LONGEST_WAIT);
