--- a/crates/cli/tests/platform/signals.rs
+++ b/crates/cli/tests/platform/signals.rs
@@ -6,15 +6,8 @@
 
 use crate::common::{Node, asked_for, config, op, patient, within};
 
-#[tokio::test(flavor = "multi_thread")]
-async fn sigterm_answers_what_was_taken_and_what_still_comes_and_ends() {
-    let (mut node, store, _discovery) =
-        Node::with_store(|_| Act::WriteAfter(Duration::from_millis(300), ok("in the end"))).await;
-    let (mut taken, mut standing) = (node.connect().await, node.connect().await);
-    taken.write(&op("look", 0, 1, 2000)).await;
-    within(5, "the op at the store", store.until(|seen| !seen.is_empty())).await;
-    node.signal(Signal::SIGTERM);
-    // It says so, and serves connections that stand and that are new for as long as there is time to answer.
+/// Returns once it says so, each time to a new connection.
+async fn says_that_it_is_not_ready(node: &Node) {
     let not_ready = async {
         loop {
             let mut late = node.connect().await;
@@ -25,6 +18,18 @@
         }
     };
     within(5, "it says that it is not ready", not_ready).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_answers_what_was_taken_and_what_still_comes_and_ends() {
+    let (mut node, store, _discovery) =
+        Node::with_store(|_| Act::WriteAfter(Duration::from_millis(300), ok("in the end"))).await;
+    let (mut taken, mut standing) = (node.connect().await, node.connect().await);
+    taken.write(&op("look", 0, 1, 2000)).await;
+    within(5, "the op at the store", store.until(|seen| !seen.is_empty())).await;
+    node.signal(Signal::SIGTERM);
+    // It says so, and serves connections that stand and that are new for as long as there is time to answer.
+    says_that_it_is_not_ready(&node).await;
     for n in 2..5 {
         assert_eq!(standing.ask(&op("look", 0, n, 2000)).await, (200, "in the end".into()));
     }
@@ -81,16 +86,7 @@
 async fn new_connections_are_served_after_sigterm_however_long_clients_wait() {
     let (mut node, _store, _discovery) = Node::with(patient, 256, |_| Act::Write(ok("served"))).await;
     node.signal(Signal::SIGTERM);
-    let not_ready = async {
-        loop {
-            let mut late = node.connect().await;
-            late.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
-            if late.answer().await.expect("an answer").head.status == 503 {
-                return;
-            }
-        }
-    };
-    within(5, "it says that it is not ready", not_ready).await;
+    says_that_it_is_not_ready(&node).await;
     for n in 0..3 {
         assert_eq!(node.connect().await.ask(&op("order", 0, n, 20_000)).await.0, 200);
     }
