Send the mark of a deduplicated op with each of its dispatches

To blame: `Names::ask`, which kept the named fields alone, and `Core::begin`, which wrote the id and the time left alone.

Change: the field is kept as it came and goes with each dispatch; one that stands twice is refused. The test was seen to fail without the line in `begin`.

--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
     pub id: Box<str>,
+    /// As its client wrote it.
+    pub mark: Option<Bytes>,
     pub method: &'static str,
     /// Path and query.
     pub target: Box<str>,
@@ -91,6 +93,9 @@
         if hex(id).is_none() {
             return refused(400, format!("{}: not {} hex digits", words::ID, words::HEX_DIGITS));
         }
+        let Ok(mark) = request.headers.one(words::MARK) else {
+            return refused(400, format!("{} stands more than once", words::MARK));
+        };
         let left = text(request, words::TIME_LEFT)?;
         let digits = !left.is_empty() && left.bytes().all(|byte| byte.is_ascii_digit());
         let Some(left) = left.parse().ok().filter(|left| digits && *left > 0) else {
@@ -99,6 +104,7 @@
         let (units, shard, gateways) = self.placement(text(request, words::PLACEMENT)?)?;
         Ok(Ask {
             id: id.into(),
+            mark: mark.map(Bytes::copy_from_slice),
             method,
             target: request.target.clone(),
             body: request.body.clone(),
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -307,8 +307,10 @@
         let out = door.out.iter().find(|out| out.dispatch == call.dispatch && now < out.until)?;
         let store = self.stores.get(&out.store).filter(|store| store.takes(now, self.grace))?;
         let left = (out.until - now).as_millis().to_string();
-        let told = [(words::ID, door.ask.id.as_bytes()), (words::TIME_LEFT, left.as_bytes())];
         let (host, ask) = (store.address.to_string(), &door.ask);
+        let mut told = vec![(words::ID, ask.id.as_bytes()), (words::TIME_LEFT, left.as_bytes())];
+        // Danger: without its mark a repeat is a second effect (rule 2), and to the store not what its client sent.
+        told.extend(ask.mark.as_ref().map(|mark| (words::MARK, &mark[..])));
         Some(client::request(ask.method, &ask.target, &host, &told, &ask.body))
     }
 
--- a/crates/platform/src/words.rs
+++ b/crates/platform/src/words.rs
@@ -2,6 +2,8 @@
 
 /// Fields of requests and answers.
 pub const ID: &str = "X-Correlation-Id";
+/// The mark of a deduplicated op, by which stores tell a repeat.
+pub const MARK: &str = "Idempotency-Key";
 pub const PLAN: &str = "X-Qos-Policy";
 pub const TIME_LEFT: &str = "X-Time-Left-Ms";
 pub const PLACEMENT: &str = "X-Placement";
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -476,6 +476,32 @@
     assert_eq!(refused.status, 400);
 }
 
+/// Each dispatch of a deduplicated op was sent without the mark that tells stores of a repeat.
+#[test]
+fn the_mark_of_an_op_goes_with_each_of_its_dispatches_as_it_came() {
+    let marked = SETTINGS
+        .replace(r#""effect":"single_shot""#, r#""effect":"guarded","dedupScope":"all","windowS":5.0"#);
+    let mut world = World::with(&marked, &[entry("s0", 0, "ready", 0)]);
+    let bytes = |world: &World, call| {
+        let bytes = world.core.begin(call, world.now).expect("it may begin");
+        String::from_utf8(bytes.to_vec()).expect("text")
+    };
+    let mut asked = fields("00000000000000ab", "units=2,shard=0,hosts=2").to_vec();
+    asked.push(("Idempotency-Key", "\"Mark 7\""));
+    let (_, deeds) = world.ask(&request("PUT", "/order/00000000000000aa/00000000000000bb", &asked, "data"));
+    let (first, _) = sent(&deeds)[0];
+    assert!(bytes(&world, first).contains("\r\nIdempotency-Key: \"Mark 7\"\r\n"));
+    let mut again = world.returned(first, Returned::Broken);
+    again.extend(world.pass(ms(150)));
+    let (second, _) = sent(&again)[0];
+    assert!(bytes(&world, second).contains("\r\nIdempotency-Key: \"Mark 7\"\r\n"));
+    asked.push(("Idempotency-Key", "another"));
+    let doubled = request("PUT", "/order/00000000000000aa/00000000000000bb", &asked, "data");
+    assert_eq!(refusal(&doubled).status, 400, "stores would see two marks");
+    let (_, deeds) = world.ask(&look(1));
+    assert!(sent(&deeds).iter().all(|(call, _)| !bytes(&world, *call).contains("Idempotency-Key")));
+}
+
 /// How often an op is sent on from one store of its shard to another, in a zone each, when its first dispatch may have
 /// run and repeats are discarded in a zone; the settings may name other zones by then.
 fn sent_on(zones: [&str; 2], settings_name: &str) -> usize {
