Give the address that discovery moves to fresh patience, and ask it at once

Seen on paused time, after an outage of nine calls: the first attempt at the new address hung for 3 s and the second one again, and the list came after 6.2 s. Where lists are asked for and the module let time pass, the new address was not called at all until the module asked. Ruled out: the move itself is seen at once in the middle of an attempt, and a wait is cut short.

To blame: `follow` kept `failures` (and `heard`) when the address changed, in both selects, and awaited `subscribe` alone. A fetch that the module orders kept the failures of before the open watch in the same way.

Now a move starts the row anew, wherever it comes, and counts as asked for; what was heard ends the row also where the watch ends by order.

Without the change all three new tests fail: 6.2 s where 4 s are owed, no call at all, and 4.0 s where 1.9 s are the sum.

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -65,17 +65,25 @@
     loop {
         // Danger: the module that has asked does not ask again where the watch only moves, or begins with the whole list.
         if !std::mem::replace(&mut wanted, true) {
-            hub.subscribe.notified().await;
+            tokio::select! {
+                () = hub.subscribe.notified() => {}
+                // Danger: what is told at the new address counts soon, however long the module waits for the old one.
+                _ = address.changed() => failures = Failures::default(),
+            }
         }
         let at = *address.borrow_and_update();
         let broken = tokio::select! {
             broken = own.watch(&dial, at, failures) => broken,
             changed = address.changed() => match changed {
-                Ok(()) => continue,
+                Ok(()) => {
+                    (own.heard, failures) = (false, Failures::default());
+                    continue;
+                }
                 Err(_) => return,
             },
             () = hub.fetch.notified() => {
                 own.held = None;
+                failures = own.row_of(failures);
                 continue;
             }
         };
@@ -85,13 +93,13 @@
         }
         hub.post(Input::ListFailed);
         wanted = !asked;
-        failures = if std::mem::take(&mut own.heard) { Failures::default() } else { failures.one_more() };
+        failures = if own.heard { own.row_of(failures) } else { failures.one_more() };
         draws += 1;
         let how = if matches!(broken, Broken::Silent) { Failed::Hung } else { Failed::AtOnce };
         let wait = failures.wait(how).mul_f64(0.5 + chance(seed, draws) / 2.0);
         tokio::select! {
             () = sleep(wait) => {}
-            _ = address.changed() => {}
+            _ = address.changed() => (wanted, failures) = (true, Failures::default()),
         }
     }
 }
@@ -127,6 +135,11 @@
 }
 
 impl Watch {
+    /// What has come ends the row of failures before it.
+    fn row_of(&mut self, failures: Failures) -> Failures {
+        if std::mem::take(&mut self.heard) { Failures::default() } else { failures }
+    }
+
     async fn watch<S: AsyncRead + AsyncWrite + Unpin>(
         &mut self,
         dial: &impl AsyncFn(SocketAddr) -> io::Result<S>,
--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -15,7 +15,10 @@
 use crate::patience::begun;
 
 const ADDRESS: &str = "127.0.0.1:9";
+const NEXT_ADDRESS: &str = "127.0.0.1:10";
 const TOLD: Duration = Duration::from_secs(6);
+/// After discovery has moved to another address.
+const MOVED_TOLD: Duration = Duration::from_secs(4);
 const MINUTE: Duration = Duration::from_secs(60);
 /// Between the bytes of a list that trickles.
 const DRIP: Duration = Duration::from_millis(100);
@@ -35,6 +38,8 @@
 enum Act {
     /// The connect hangs.
     Hang,
+    /// The connect fails at once.
+    Refused,
     /// Connects and never says a thing.
     Silent,
     /// The whole list, or the first object, a byte now and then.
@@ -55,16 +60,19 @@
 enum Told {
     Pushed,
     Asked,
+    /// The module asks once, and then lets time pass.
+    AskedOnce,
 }
 
 /// A gateway's watch, and the discovery that it follows.
 struct World {
     hub: Rc<Hub>,
-    dialed: Rc<Cell<usize>>,
+    dials: Rc<RefCell<Vec<(SocketAddr, Instant)>>>,
+    acts: Rc<RefCell<VecDeque<Act>>>,
     /// When the first watch fell silent.
     silent: Rc<Cell<Option<Instant>>>,
     following: JoinHandle<()>,
-    _address: watch::Sender<SocketAddr>,
+    address: watch::Sender<SocketAddr>,
 }
 
 impl World {
@@ -74,28 +82,52 @@
         let clock = Clock::start();
         let core = Core::start(&config, clock.now()).expect("it starts");
         let hub = Rc::new(Hub::new(core, clock, Bounds::of(&config).expect("bounds")));
-        let (dialed, silent) = (Rc::<Cell<usize>>::default(), Rc::<Cell<Option<Instant>>>::default());
-        let acts = RefCell::new(VecDeque::from(acts.to_vec()));
-        let (asks, count, since) = (hub.clone(), dialed.clone(), silent.clone());
+        let (dials, silent) = (Rc::<RefCell<Vec<_>>>::default(), Rc::<Cell<Option<Instant>>>::default());
+        let acts = Rc::new(RefCell::new(VecDeque::from(acts.to_vec())));
+        let (asks, dialed, next, since) = (hub.clone(), dials.clone(), acts.clone(), silent.clone());
         hub.subscribe.notify_one();
-        let dial = async move |_: SocketAddr| -> io::Result<DuplexStream> {
-            asks.subscribe.notify_one();
-            count.set(count.get() + 1);
-            let act = acts.borrow()[0];
-            if acts.borrow().len() > 1 {
-                acts.borrow_mut().pop_front();
+        let dial = async move |address: SocketAddr| -> io::Result<DuplexStream> {
+            if !matches!(told, Told::AskedOnce) {
+                asks.subscribe.notify_one();
+            }
+            dialed.borrow_mut().push((address, Instant::now()));
+            let act = next.borrow()[0];
+            if next.borrow().len() > 1 {
+                next.borrow_mut().pop_front();
             }
             if act == Act::Hang {
                 return pending().await;
             }
+            if act == Act::Refused {
+                return Err(io::ErrorKind::ConnectionRefused.into());
+            }
             let (ours, theirs) = tokio::io::duplex(1 << 20);
             spawn_local(attend(theirs, act, since.clone()));
             Ok(ours)
         };
         let (sender, address) = watch::channel(ADDRESS.parse().expect("an address"));
-        let asked = matches!(told, Told::Asked);
+        let asked = !matches!(told, Told::Pushed);
         let following = spawn_local(follow(dial, hub.clone(), address, 0, 1, asked));
-        World { hub, dialed, silent, following, _address: sender }
+        World { hub, dials, acts, silent, following, address: sender }
+    }
+
+    fn dialed(&self) -> usize {
+        self.dials.borrow().len()
+    }
+
+    async fn dialed_so_often(&self, times: usize) {
+        let dialed = async {
+            while self.dialed() < times {
+                sleep(DRIP / 100).await;
+            }
+        };
+        timeout(10 * MINUTE, dialed).await.expect("so many calls, within ten minutes");
+    }
+
+    /// Discovery is at another address from now on.
+    fn moves(&self, acts: &[Act]) {
+        *self.acts.borrow_mut() = VecDeque::from(acts.to_vec());
+        self.address.send_replace(NEXT_ADDRESS.parse().expect("an address"));
     }
 
     async fn list(&self, version: u64) {
@@ -125,7 +157,7 @@
             (false, _) => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()),
         };
         match act {
-            Act::Hang | Act::Silent => return pending().await,
+            Act::Hang | Act::Refused | Act::Silent => return pending().await,
             Act::Trickle => drip(stream, text.as_bytes(), 1, DRIP).await?,
             Act::Slow(rate) => drip(stream, text.as_bytes(), rate / 10, DRIP).await?,
             _ => stream.write_all(text.as_bytes()).await?,
@@ -170,7 +202,7 @@
     let (version, stores) = match act {
         Act::Once(version) | Act::Unending(version) | Act::Alive(version) => (version, 1),
         Act::Slow(_) => (1, 1024),
-        Act::Hang | Act::Silent | Act::Trickle | Act::Unchanged => (1, 1),
+        _ => (1, 1),
     };
     let store = |n| {
         format!(
@@ -191,7 +223,7 @@
         // The silence of a line that trickles counts from its first byte.
         let bound = begun(acts.len() as u32 - 1) + DRIP;
         assert!(took < TOLD && took <= bound, "{told:?} {acts:?}: {took:?}, at most {bound:?}");
-        assert_eq!(world.dialed.get(), acts.len());
+        assert_eq!(world.dialed(), acts.len());
     }
 }
 
@@ -246,7 +278,7 @@
     in_paused_time(async {
         let world = World::new(Told::Pushed, &[Act::Slow(20_000)]);
         world.list(1).await;
-        assert!(world.dialed.get() > 1, "slow enough to need more than the first patience");
+        assert!(world.dialed() > 1, "slow enough to need more than the first patience");
     })
     .await;
 }
@@ -257,9 +289,9 @@
     in_paused_time(async {
         let world = World::new(Told::Pushed, &[Act::Unchanged]);
         sleep(MINUTE).await;
-        let dialed = world.dialed.get();
+        let dialed = world.dialed();
         sleep(MINUTE).await;
-        assert_eq!(world.dialed.get(), dialed);
+        assert_eq!(world.dialed(), dialed);
         assert!(dialed <= 6, "{dialed}");
     })
     .await;
@@ -270,7 +302,63 @@
     in_paused_time(async {
         let world = World::new(Told::Asked, &[Act::Alive(1)]);
         sleep(10 * MINUTE).await;
-        assert_eq!(world.dialed.get(), 1);
+        assert_eq!(world.dialed(), 1);
+    })
+    .await;
+}
+
+/// What the old address failed at says nothing of the new one: two attempts there may hang, as after a silence.
+#[tokio::test]
+async fn an_address_that_moves_after_an_outage_gets_fresh_patience() {
+    in_paused_time(async {
+        // In the middle of an attempt, or of the wait after it.
+        for outage in [Act::Hang, Act::Refused] {
+            for told in [Told::Pushed, Told::Asked] {
+                let world = World::new(told, &[outage]);
+                world.dialed_so_often(9).await;
+                let moved = Instant::now();
+                world.moves(&[Act::Hang, Act::Silent, Act::Alive(2)]);
+                world.list(2).await;
+                let took = moved.elapsed();
+                assert!(took < MOVED_TOLD, "{told:?} after {outage:?}: {took:?}");
+                assert_eq!(world.dials.borrow()[9].0, NEXT_ADDRESS.parse().expect("an address"));
+            }
+        }
+    })
+    .await;
+}
+
+/// The module lets more time pass after each failure, up to the whole of `ask_within`.
+#[tokio::test]
+async fn an_address_that_moves_is_asked_although_the_module_waits() {
+    in_paused_time(async {
+        // While the module lets time pass, or in the wait before.
+        for (outage, since) in [(Act::Hang, MINUTE), (Act::Refused, DRIP / 10)] {
+            let world = World::new(Told::AskedOnce, &[outage]);
+            sleep(since).await;
+            assert_eq!(world.dialed(), 1, "the module lets time pass");
+            let moved = Instant::now();
+            world.moves(&[Act::Alive(2)]);
+            world.list(2).await;
+            assert!(moved.elapsed() < MOVED_TOLD, "after {outage:?}: {:?}", moved.elapsed());
+        }
+    })
+    .await;
+}
+
+/// A watch that has long been open has ended the row of failures before it, also where it ends by order.
+#[tokio::test]
+async fn a_whole_list_that_is_fetched_on_order_gets_fresh_patience() {
+    in_paused_time(async {
+        let mut acts = vec![Act::Hang; 8];
+        acts.extend([Act::Alive(1), Act::Hang, Act::Silent, Act::Alive(2)]);
+        let world = World::new(Told::Pushed, &acts);
+        world.list(1).await;
+        let ordered = Instant::now();
+        world.hub.fetch.notify_one();
+        world.list(2).await;
+        let (took, bound) = (ordered.elapsed(), begun(3) - patience::silence());
+        assert!(took <= bound, "{took:?}, at most {bound:?}");
     })
     .await;
 }
