Leave no grace to a drain that a new process, or a watch that moved, hears of first

Where lists are pushed, what the agent has counts from the first moment of a new process, and an earlier process of this gateway may have been told of it long before. Seen in the core's tests: a store that the known list has as ready and the first list has as draining got a whole grace from then on. A dispatch decided on the known list still began there. The same after SIGHUP: what the old address had last is told by the new one first, and passed for new. Ruled out: a store that the known list already has as draining got nothing, as the module gives a grace only to stores it knew as ready.

To blame: `unheard` began as false, and `follow` told the core nothing when the address changed under a watch.

Now `unheard` begins as true, and a watch that moves is told as broken. The world of the core's tests hears an empty change before it begins; the new tests for both fail without the change.

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -76,6 +76,8 @@
             broken = own.watch(&dial, at, failures) => broken,
             changed = address.changed() => match changed {
                 Ok(()) => {
+                    // Danger: what the old address had last is heard from the new one, as if it were new.
+                    hub.post(Input::ListFailed);
                     (own.heard, failures) = (false, Failures::default());
                     continue;
                 }
--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -328,6 +328,19 @@
     .await;
 }
 
+/// What the old address had last may be heard from the new one alone: it must not pass for new.
+#[tokio::test]
+async fn a_watch_that_moves_is_told_as_broken() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Alive(1)]);
+        world.list(1).await;
+        world.moves(&[Act::Alive(2)]);
+        let broken = world.hub.posted(|input| matches!(input, Input::ListFailed));
+        timeout(MINUTE, broken).await.expect("the core is told");
+    })
+    .await;
+}
+
 /// The module lets more time pass after each failure, up to the whole of `ask_within`.
 #[tokio::test]
 async fn an_address_that_moves_is_asked_although_the_module_waits() {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -192,7 +192,7 @@
     volume_ids: HashMap<u64, VolumeId>,
     next_volume: u32,
     listed: bool,
-    /// The watch broke: when what it tells next was told is not known.
+    /// The watch broke, or none has told a thing yet: when what it tells next was told is not known.
     unheard: bool,
     timers: BTreeSet<(Duration, u64)>,
     events: Vec<Event>,
@@ -244,7 +244,7 @@
             volume_ids: HashMap::new(),
             next_volume: 0,
             listed: false,
-            unheard: false,
+            unheard: true,
             timers: BTreeSet::new(),
             events: vec![Event::Start { seed: config.seed, settings: settings.clone() }],
             deeds: Vec::new(),
@@ -475,8 +475,8 @@
         list.stores.iter().map(|entry| self.listing(entry)).collect()
     }
 
-    /// Rule 3. Danger: what was missed counts as told although it did not come. A drain that is heard of only after a silence
-    /// may have had its grace by then, and a second one would be sent past it.
+    /// Rule 3. Danger: what was missed counts as told although it did not come, also what an earlier process missed. A drain
+    /// that is heard of only after a silence may have had its grace by then, and a second one would be sent past it.
     fn told_at(&self) -> Duration {
         if self.unheard { self.now.saturating_sub(self.grace) } else { self.now }
     }
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -56,7 +56,15 @@
         World::with(SETTINGS, &[entry("s0", 0, "ready", 0), entry("s1", 1, "ready", 0)])
     }
 
+    /// A process that has heard that its earlier list holds.
     fn with(settings: &str, entries: &[String]) -> World {
+        let mut world = World::unheard(settings, entries);
+        world.tell(vec![Input::List(List::read(list(1, false, &[]).as_bytes()).expect("a list"))]);
+        world
+    }
+
+    /// A new process that knows its earlier list alone.
+    fn unheard(settings: &str, entries: &[String]) -> World {
         let known = list(1, true, entries);
         let config = Config::read(&config(settings, &known)).expect("a whole configuration");
         let mut world =
@@ -574,6 +582,28 @@
     assert!(broken.line().is_err(), "a text that is not closed on its line ends the search");
 }
 
+/// What discovery had before a process began counts from its first moment on, and an earlier one may have heard of it.
+#[test]
+fn a_drain_that_the_first_list_of_a_process_tells_has_no_grace_left() {
+    let stores = |state| [entry("s0", 0, state, 0), entry("s1", 1, "ready", 0)];
+    let told = |version, state| {
+        Input::List(List::read(list(version, true, &stores(state)).as_bytes()).expect("a list"))
+    };
+    for known in ["ready", "draining"] {
+        let mut world = World::unheard(SETTINGS, &stores(known));
+        let (_, early) = world.ask(&look(1));
+        assert_eq!(sent(&early).is_empty(), known == "draining", "{early:?}");
+        world.tell(vec![told(2, "draining")]);
+        if let Some((call, _)) = sent(&early).first() {
+            assert_eq!(world.core.begin(*call, world.now), None, "rule 3: decided on the earlier list");
+        }
+        assert!(sent(&world.ask(&look(2)).1).is_empty(), "known as {known}");
+        // What comes from then on is as new as it seems.
+        world.tell(vec![told(3, "ready"), told(4, "draining")]);
+        assert!(!sent(&world.ask(&look(3)).1).is_empty(), "known as {known}");
+    }
+}
+
 /// A drain that was missed counts as told although it did not come: heard of after a silence, its grace may be over.
 #[test]
 fn a_drain_that_is_heard_of_after_a_silence_has_no_grace_left() {
