Let waits grow where the list can be had but no watch of it

Seen on paused time: discovery that gives the whole list, and a watch that cannot be read, was asked 793 times a minute, for ever. A list that cannot be read itself was not: it grows the waits to 1 s.

To blame: `heard`, which the whole list sets, ended the row of failures for patience and waits alike.

Now only a line of a watch ends the row that the waits go by. Patience goes by the other row as before, so that silence after a whole list is found soon. The test of what must not spin fails without the change, at 793.

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -51,12 +51,23 @@
     }
 }
 
+/// Of failures, one after the other.
+#[derive(Clone, Copy, Default)]
+struct Rows {
+    /// Nothing came.
+    failed: Failures,
+    /// No watch brought a thing. Danger: a list that can be had beside a watch that cannot would be asked for without end.
+    unopened: Failures,
+}
+
 struct Watch {
     hub: Rc<Hub>,
     /// The version held, if the list held is known to be whole.
     held: Option<u64>,
     /// Something came since the last failure.
     heard: bool,
+    /// A watch brought it.
+    opened: bool,
 }
 
 /// Follows the list at the address that holds at the time. Where it has to be asked for, the first watch begins when the
@@ -69,33 +80,33 @@
     seed: u64,
     asked: bool,
 ) {
-    let mut own = Watch { hub: hub.clone(), held: None, heard: false };
+    let mut own = Watch { hub: hub.clone(), held: None, heard: false, opened: false };
     tracing::debug!(known, "following the list");
-    let (mut failures, mut draws, mut wanted) = (Failures::default(), 0u64, !asked);
+    let (mut rows, mut draws, mut wanted) = (Rows::default(), 0u64, !asked);
     loop {
         // Danger: the module that has asked does not ask again where the watch only moves, or begins with the whole list.
         if !std::mem::replace(&mut wanted, true) {
             tokio::select! {
                 () = hub.subscribe.notified() => {}
                 // Danger: what is told at the new address counts soon, however long the module waits for the old one.
-                _ = address.changed() => failures = Failures::default(),
+                _ = address.changed() => rows = Rows::default(),
             }
         }
         let at = *address.borrow_and_update();
         let broken = tokio::select! {
-            broken = own.watch(&dial, at, failures) => broken,
+            broken = own.watch(&dial, at, rows.failed) => broken,
             changed = address.changed() => match changed {
                 Ok(()) => {
                     // Danger: what the old address had last is heard from the new one, as if it were new.
                     hub.post(Input::ListFailed);
-                    (own.heard, failures) = (false, Failures::default());
+                    (own.heard, own.opened, rows) = (false, false, Rows::default());
                     continue;
                 }
                 Err(_) => return,
             },
             () = hub.fetch.notified() => {
                 own.held = None;
-                failures = own.row_of(failures);
+                rows = own.ended(rows);
                 continue;
             }
         };
@@ -105,12 +116,12 @@
         }
         hub.post(Input::ListFailed);
         wanted = !asked;
-        failures = if own.heard { own.row_of(failures) } else { failures.one_more() };
+        rows = own.failed(rows);
         draws += 1;
-        let wait = failures.wait(broken.how(asked)).mul_f64(0.5 + chance(seed, draws) / 2.0);
+        let wait = rows.unopened.wait(broken.how(asked)).mul_f64(0.5 + chance(seed, draws) / 2.0);
         tokio::select! {
             () = sleep(wait) => {}
-            _ = address.changed() => (wanted, failures) = (true, Failures::default()),
+            _ = address.changed() => (wanted, rows) = (true, Rows::default()),
         }
     }
 }
@@ -146,9 +157,20 @@
 }
 
 impl Watch {
-    /// What has come ends the row of failures before it.
-    fn row_of(&mut self, failures: Failures) -> Failures {
-        if std::mem::take(&mut self.heard) { Failures::default() } else { failures }
+    /// What has come ends a row.
+    fn ended(&mut self, rows: Rows) -> Rows {
+        Rows {
+            failed: if std::mem::take(&mut self.heard) { Failures::default() } else { rows.failed },
+            unopened: if std::mem::take(&mut self.opened) { Failures::default() } else { rows.unopened },
+        }
+    }
+
+    fn failed(&mut self, rows: Rows) -> Rows {
+        let (heard, opened, rows) = (self.heard, self.opened, self.ended(rows));
+        Rows {
+            failed: if heard { rows.failed } else { rows.failed.one_more() },
+            unopened: if opened { rows.unopened } else { rows.unopened.one_more() },
+        }
     }
 
     async fn watch<S: AsyncRead + AsyncWrite + Unpin>(
@@ -236,6 +258,7 @@
             if let Line::List(list) = line {
                 self.told(list)?;
             }
+            self.opened = true;
         }
         Ok(any)
     }
--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -48,6 +48,8 @@
     Cut,
     /// An object that is no list.
     Unreadable,
+    /// The list of that version whole, but a watch brings an object that is no list.
+    Unwatched(u64),
     /// The whole list, or the first object, a byte now and then.
     Trickle,
     /// The same, so many bytes a second, and signs of life from then on.
@@ -159,6 +161,7 @@
         let list = list(act);
         let text = match (watched, act) {
             (true, Act::Unchanged) => STREAM.into(),
+            (true, Act::Unwatched(_)) => format!("{STREAM}{}", chunk("{}")),
             (true, _) => format!("{STREAM}{}", chunk(&list)),
             (false, _) => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()),
         };
@@ -209,7 +212,9 @@
 fn list(act: Act) -> String {
     let (version, stores) = match act {
         Act::Unreadable => return "{}".into(),
-        Act::Once(version) | Act::Unending(version) | Act::Alive(version) => (version, 1),
+        Act::Once(version) | Act::Unending(version) | Act::Alive(version) | Act::Unwatched(version) => {
+            (version, 1)
+        }
         Act::Slow(_) => (1, 1024),
         _ => (1, 1),
     };
@@ -361,8 +366,9 @@
 #[tokio::test]
 async fn neither_garbage_nor_asking_spins() {
     in_paused_time(async {
-        let endless =
-            [(Told::Pushed, Act::Unreadable), (Told::Asked, Act::Refused), (Told::Asked, Act::Ended)];
+        let garbage = [Act::Unreadable, Act::Unwatched(1)].map(|act| (Told::Pushed, act));
+        let asked = [Act::Refused, Act::Ended].map(|act| (Told::Asked, act));
+        let endless = [garbage, asked].concat();
         for (told, act) in endless {
             let world = World::new(told, &[act]);
             sleep(MINUTE).await;
