Test versions that begin anew, a watch that stays silent, and a slow list left behind

Seen to fail: with the patience of an outage for the watch after a whole list, 2.9 s where 1 s is the sum; with the slow attempt kept when the address moves, the former list is taken.

--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -54,6 +54,8 @@
     Cut,
     /// An object that is no list.
     Unreadable,
+    /// The list of that version whole, but a watch says nothing.
+    Unopened(u64),
     /// The list of that version whole, but a watch brings an object that is no list.
     Unwatched(u64),
     /// The whole list, or the first object, a byte now and then.
@@ -180,6 +182,7 @@
                 stream.write_all(STREAM.as_bytes()).await?;
                 return pending().await;
             }
+            Act::Unopened(_) if watched => return pending().await,
             Act::Ended => return Ok(()),
             Act::Cut => return stream.write_all(&text.as_bytes()[..text.len() / 2]).await,
             Act::Trickle => drip(stream, text.as_bytes(), 1, DRIP).await?,
@@ -225,9 +228,11 @@
 fn list(act: Act) -> String {
     let (version, stores) = match act {
         Act::Unreadable => return "{}".into(),
-        Act::Once(version) | Act::Unending(version) | Act::Alive(version) | Act::Unwatched(version) => {
-            (version, 1)
-        }
+        Act::Once(version)
+        | Act::Unending(version)
+        | Act::Alive(version)
+        | Act::Unopened(version)
+        | Act::Unwatched(version) => (version, 1),
         Act::Slow(_) => (1, 1024),
         _ => (1, 1),
     };
@@ -289,6 +294,35 @@
     in_paused_time(tells_in_time(&[Act::Once(1), Act::Once(0), Act::Alive(2)])).await;
 }
 
+/// Discovery has started anew, and counts from its beginning: what a watch tells is refused, the whole list is not.
+#[tokio::test]
+async fn versions_that_begin_anew_are_taken_with_the_whole_list() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Once(5), Act::Alive(3)]);
+        world.list(3).await;
+        let took = world.silent.get().expect("a watch that fell silent").elapsed();
+        assert!(took < TOLD, "{took:?}");
+        assert_eq!(world.dialed(), 3);
+    })
+    .await;
+}
+
+/// A whole list ends the row, so its watch is not waited for as an outage is.
+#[tokio::test]
+async fn a_watch_that_says_nothing_after_a_whole_list_is_given_up_soon() {
+    in_paused_time(async {
+        let mut acts = vec![Act::Hang; 8];
+        acts.extend([Act::Unopened(1), Act::Alive(2)]);
+        let world = World::new(Told::Pushed, &acts);
+        world.list(1).await;
+        let listed = Instant::now();
+        world.list(2).await;
+        let (took, bound) = (listed.elapsed(), begun(2) - patience::silence());
+        assert!(took <= bound, "{took:?}, at most {bound:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn the_first_whole_list_of_all_that_trickles() {
     in_paused_time(async {
@@ -336,8 +370,7 @@
     in_paused_time(async {
         let world = World::new(Told::Pushed, &[Act::Slow(20_000), Act::Hang]);
         world.dialed_so_often(2).await;
-        world.moves(&[Act::Alive(2)]);
-        world.list(2).await;
+        world.moves(&[Act::Hang]);
         let former = world.hub.posted(|input| matches!(input, Input::List(list) if list.version == 1));
         assert!(timeout(MINUTE, former).await.is_err());
     })
