Count the time that an attempt took towards the wait after it

Seen on paused time, after the return of discovery: an attempt that hangs and an answer that cannot be read and comes 2.7 s after the dial, with a wait of up to 1 s on top, leave the third attempt at 6.5 s where 6 s are owed. The wait is there so that what fails at once does not spin; an attempt that took its time has waited already.

To blame: `follow`, which waited in full after all but a silence.

Now the wait counts from the beginning of the attempt, and is at least that after a silence. What has come by the moment in which it is due is not taken for late, whatever order the runtime polls in.

--- a/crates/node/src/patience.rs
+++ b/crates/node/src/patience.rs
@@ -21,7 +21,7 @@
 //! | wait, third attempt has its list at once | 0.05 |
 //! | together | 2.9: 5.8 s |
 //!
-//! An attempt that fails at once takes less: its wait is 0.5 at most.
+//! An attempt that fails in another way takes less: up to 0.5 from its beginning to the next, or its own time and 0.05.
 
 use std::time::Duration;
 
@@ -86,6 +86,11 @@
         signs((FIRST_WAIT * f64::from(1 << self.0)).min(longest))
     }
 
+    /// After an attempt that has taken so long. Danger: an answer of no use may come as late as any, and the wait on top.
+    pub fn wait_after(self, taken: Duration, how: Failed) -> Duration {
+        self.wait(how).saturating_sub(taken).max(self.wait(Failed::Hung))
+    }
+
     fn attempt(self) -> f64 {
         ANSWER * f64::from(1 << (self.0 + 1).saturating_sub(SHORT))
     }
@@ -134,8 +139,12 @@
     #[test]
     fn two_attempts_that_are_lost_after_an_outage_leave_a_third_within_the_time_that_counts_as_told() {
         let lost = Failures(MOST).still() + Failures(MOST).wait(Failed::Hung);
-        assert!(Failures(MOST).wait(Failed::AtOnce) < lost, "one that fails at once takes less");
         assert!(2 * lost < TOLD, "{lost:?}");
+        for (tenths, how) in (0..=10).flat_map(|tenths| [(tenths, Failed::Closed), (tenths, Failed::AtOnce)])
+        {
+            let taken = Failures(MOST).still() * tenths / 10;
+            assert!(taken + Failures(MOST).wait_after(taken, how) <= lost, "{how:?} after {taken:?}");
+        }
     }
 
     /// After SIGHUP has moved discovery.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -121,6 +121,7 @@
             }
         }
         let at = *address.borrow_and_update();
+        let begun = Instant::now();
         let attempt = next.take().unwrap_or_else(|| own.attempt(&dial, at, rows.failed));
         let broken = tokio::select! {
             broken = until_broken(attempt, &mut slow) => broken,
@@ -148,7 +149,8 @@
         wanted = !asked;
         rows = own.failed(rows);
         draws += 1;
-        let wait = rows.unopened.wait(broken.how(asked)).mul_f64(0.5 + chance(seed, draws) / 2.0);
+        let longest = rows.unopened.wait_after(begun.elapsed(), broken.how(asked));
+        let wait = longest.mul_f64(0.5 + chance(seed, draws) / 2.0);
         tokio::select! {
             waited = beside(&mut slow, sleep(wait)) => if waited.is_none() { next = slow.take() },
             _ = address.changed() => (wanted, rows, slow) = (true, Rows::default(), None),
@@ -161,6 +163,7 @@
     let mut done = pin!(done);
     while let Some(attempt) = slow {
         tokio::select! {
+            biased;
             done = &mut done => return Some(done),
             came = attempt.broken_or_told() => match came {
                 Came::Broken(_) => *slow = None,
@@ -193,6 +196,7 @@
     async fn came(&mut self) -> Came {
         let stage = self.stage.clone();
         tokio::select! {
+            biased; // What has come by the moment in which it is due is not late.
             came = self.broken_or_told() => came,
             () = stage.late() => Came::Late,
         }
@@ -200,6 +204,7 @@
 
     async fn broken_or_told(&mut self) -> Came {
         tokio::select! {
+            biased;
             broken = &mut self.run => Came::Broken(broken),
             () = self.stage.told.notified() => Came::Told,
         }
--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -46,6 +46,8 @@
     Silent,
     /// The same, and the connect comes up late.
     Late,
+    /// An object that is no list, and the connect comes up late.
+    LateUnreadable,
     /// An answer's head, then nothing.
     Head,
     /// Ends the connection at once.
@@ -117,7 +119,7 @@
             if act == Act::Refused {
                 return Err(io::ErrorKind::ConnectionRefused.into());
             }
-            if act == Act::Late {
+            if let Act::Late | Act::LateUnreadable = act {
                 sleep(LATE).await;
             }
             let (ours, theirs) = tokio::io::duplex(1 << 20);
@@ -227,7 +229,7 @@
 
 fn list(act: Act) -> String {
     let (version, stores) = match act {
-        Act::Unreadable => return "{}".into(),
+        Act::Unreadable | Act::LateUnreadable => return "{}".into(),
         Act::Once(version)
         | Act::Unending(version)
         | Act::Alive(version)
@@ -415,9 +417,10 @@
 }
 
 /// What a watch may meet that tells nothing.
-const OF_NO_USE: [Act; 9] = [
+const OF_NO_USE: [Act; 10] = [
     Act::Hang,
     Act::Late,
+    Act::LateUnreadable,
     Act::Silent,
     Act::Head,
     Act::Trickle,
