--- a/crates/node/src/patience.rs
+++ b/crates/node/src/patience.rs
@@ -10,6 +10,18 @@
 //! | wait, second attempt hangs | 0.05 + 0.4 |
 //! | wait, third attempt has its list in the last moment | 0.05 + 0.4 |
 //! | together | 2.6: 5.2 s |
+//!
+//! After an outage all counts as told 6 s after discovery had it and could be reached. At worst from that moment, after
+//! any row of failures:
+//!
+//! | what | signs of life |
+//! | --- | --- |
+//! | begun just before, and lost: hangs | 1.4 |
+//! | wait, another attempt is lost: hangs | 0.05 + 1.4 |
+//! | wait, third attempt has its list at once | 0.05 |
+//! | together | 2.9: 5.8 s |
+//!
+//! An attempt that fails in another way takes less: up to 0.5 from its beginning to the next, or its own time and 0.05.
 
 use std::time::Duration;
 
@@ -22,13 +34,18 @@
 const ANSWER: f64 = 0.4;
 /// So many attempts are as short as the first. Then each has twice the time of the one before.
 const SHORT: u32 = 3;
-/// The most that connecting may take, and that nothing may come: an outage is not asked more often than this allows.
-const STILL: f64 = 1.5;
-/// The most that a whole answer may take while its bytes come. Danger: a large list on a slow path needs it.
+/// The most that an attempt may take before the next begins, and that nothing may come: an outage is not asked more often
+/// than this allows. Two attempts may be lost after it.
+const STILL: f64 = 1.4;
+/// The most that a whole answer may take while its bytes come, beside the next attempts. Danger: a large list on a slow
+/// path needs it.
 const WHOLE: f64 = 12.8;
 /// The wait after a failure, at first and at most.
 const FIRST_WAIT: f64 = 0.05;
 const LONGEST_WAIT: f64 = 0.5;
+/// The same where a call costs nothing. What a pushed list has at the return counts at once: this is below the shortest
+/// grace known, 0.25 s, and still no more than 10 calls a second.
+const CLOSED_WAIT: f64 = 0.1;
 /// More failures change nothing.
 const MOST: u32 = 8;
 
@@ -41,7 +58,9 @@
 pub enum Failed {
     /// Nothing came for as long as was waited.
     Hung,
-    /// Refused, ended, or answered with what is of no use.
+    /// Refused or ended by the agent on the gateway's own machine, to which lists are pushed: that costs nobody a thing.
+    Closed,
+    /// Refused or ended where lists are asked for, or answered with what is of no use.
     AtOnce,
 }
 
@@ -51,23 +70,25 @@
         Failures((self.0 + 1).min(MOST))
     }
 
-    /// For connecting, and for each read until the first answer is whole.
+    /// From the dial, or from asking again on the same connection, until the answer is whole or another attempt begins.
     pub fn still(self) -> Duration {
         signs(self.attempt().min(STILL))
     }
 
-    /// From the dial, or from asking again on the same connection, until the answer is whole.
-    pub fn whole(self) -> Duration {
-        signs(self.attempt().min(WHOLE))
-    }
-
     /// At most; chance takes up to a half of it. Danger: news that come while nothing listens are heard late. An attempt that
     /// hung has taken its time already, and is followed at once; only those that fail at once must not spin.
     pub fn wait(self, how: Failed) -> Duration {
-        match how {
-            Failed::Hung => signs(FIRST_WAIT),
-            Failed::AtOnce => signs((FIRST_WAIT * f64::from(1 << self.0)).min(LONGEST_WAIT)),
-        }
+        let longest = match how {
+            Failed::Hung => FIRST_WAIT,
+            Failed::Closed => CLOSED_WAIT,
+            Failed::AtOnce => LONGEST_WAIT,
+        };
+        signs((FIRST_WAIT * f64::from(1 << self.0)).min(longest))
+    }
+
+    /// After an attempt that has taken so long. Danger: an answer of no use may come as late as any, and the wait on top.
+    pub fn wait_after(self, taken: Duration, how: Failed) -> Duration {
+        self.wait(how).saturating_sub(taken).max(self.wait(Failed::Hung))
     }
 
     fn attempt(self) -> f64 {
@@ -75,6 +96,16 @@
     }
 }
 
+/// For each read of an attempt that goes on beside the next.
+pub fn stillest() -> Duration {
+    signs(STILL)
+}
+
+/// For the whole answer of such an attempt.
+pub fn whole() -> Duration {
+    signs(WHOLE)
+}
+
 /// For a line of an open watch: from the line before, or from its own first byte.
 pub fn silence() -> Duration {
     signs(SILENCE)
@@ -88,7 +119,7 @@
 #[cfg(test)]
 pub fn begun(attempts: u32) -> Duration {
     let wait = |n| Failures(n).wait(Failed::Hung);
-    let failed = (0..attempts - 1).map(|n| wait(n) + Failures(n).whole());
+    let failed = (0..attempts - 1).map(|n| wait(n) + Failures(n).still());
     silence() + failed.sum::<Duration>() + wait(attempts - 1)
 }
 
@@ -101,10 +132,28 @@
 
     #[test]
     fn two_failures_after_a_silence_leave_a_third_attempt_within_the_time_that_counts_as_told() {
-        let told = begun(3) + Failures(2).whole();
+        let told = begun(3) + Failures(2).still();
         assert!(told < TOLD, "{told:?}");
     }
 
+    #[test]
+    fn two_attempts_that_are_lost_after_an_outage_leave_a_third_within_the_time_that_counts_as_told() {
+        let lost = Failures(MOST).still() + Failures(MOST).wait(Failed::Hung);
+        assert!(2 * lost < TOLD, "{lost:?}");
+        for (tenths, how) in (0..=10).flat_map(|tenths| [(tenths, Failed::Closed), (tenths, Failed::AtOnce)])
+        {
+            let taken = Failures(MOST).still() * tenths / 10;
+            assert!(taken + Failures(MOST).wait_after(taken, how) <= lost, "{how:?} after {taken:?}");
+        }
+    }
+
+    /// After SIGHUP has moved discovery.
+    #[test]
+    fn two_failures_at_a_new_address_leave_a_third_attempt_within_the_time_that_counts_as_told() {
+        let told = begun(3) - silence() + Failures(2).still();
+        assert!(told < Duration::from_secs(4), "{told:?}");
+    }
+
     #[test]
     fn a_sign_of_life_that_is_a_little_late_breaks_nothing() {
         assert!(silence() > SIGN_OF_LIFE.mul_f64(1.2));
@@ -125,18 +174,14 @@
     #[test]
     fn an_outage_is_asked_hardly_more_often_than_with_one_long_patience() {
         let (now, before) = (calls(Failures::still), calls(|_| signs(STILL)));
-        assert!(now <= before + 3, "{now} calls in the first minute, {before} with one patience");
+        assert!(now <= before + 2, "{now} calls in the first minute, {before} with one patience");
     }
 
     #[test]
     fn patience_never_shrinks_and_ends_at_its_bounds() {
         let row = std::iter::successors(Some(Failures::default()), |failures| Some(failures.one_more()));
         let row: Vec<_> = row.take(12).collect();
-        assert!(row.is_sorted_by_key(|failures| (
-            failures.still(),
-            failures.whole(),
-            failures.wait(Failed::AtOnce)
-        )));
-        assert_eq!((row[11].still(), row[11].whole()), (signs(STILL), signs(WHOLE)));
+        assert!(row.is_sorted_by_key(|failures| (failures.still(), failures.wait(Failed::AtOnce))));
+        assert_eq!((row[11].still(), whole()), (stillest(), signs(WHOLE)));
     }
 }
--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -15,10 +15,15 @@
 use crate::patience::begun;
 
 const ADDRESS: &str = "127.0.0.1:9";
+const NEXT_ADDRESS: &str = "127.0.0.1:10";
 const TOLD: Duration = Duration::from_secs(6);
+/// After discovery has moved to another address.
+const MOVED_TOLD: Duration = Duration::from_secs(4);
 const MINUTE: Duration = Duration::from_secs(60);
 /// Between the bytes of a list that trickles.
 const DRIP: Duration = Duration::from_millis(100);
+/// Until a connect comes up that is late.
+const LATE: Duration = Duration::from_millis(2700);
 const STREAM: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CONFIG: &str = r#"{"name":"g0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"0f",
     "limits":{"cores":1.0,"memory_mb":64,"sockets":64},"known":{"rev":0,"all":true,"targets":[]},
@@ -35,8 +40,26 @@
 enum Act {
     /// The connect hangs.
     Hang,
+    /// The connect fails at once.
+    Refused,
     /// Connects and never says a thing.
     Silent,
+    /// The same, and the connect comes up late.
+    Late,
+    /// An object that is no list, and the connect comes up late.
+    LateUnreadable,
+    /// An answer's head, then nothing.
+    Head,
+    /// Ends the connection at once.
+    Ended,
+    /// Ends it in the middle of the list, or of the first object.
+    Cut,
+    /// An object that is no list.
+    Unreadable,
+    /// The list of that version whole, but a watch says nothing.
+    Unopened(u64),
+    /// The list of that version whole, but a watch brings an object that is no list.
+    Unwatched(u64),
     /// The whole list, or the first object, a byte now and then.
     Trickle,
     /// The same, so many bytes a second, and signs of life from then on.
@@ -55,16 +78,19 @@
 enum Told {
     Pushed,
     Asked,
+    /// The module asks once, and then lets time pass.
+    AskedOnce,
 }
 
 /// A gateway's watch, and the discovery that it follows.
 struct World {
     hub: Rc<Hub>,
-    dialed: Rc<Cell<usize>>,
+    dials: Rc<RefCell<Vec<(SocketAddr, Instant)>>>,
+    acts: Rc<RefCell<VecDeque<Act>>>,
     /// When the first watch fell silent.
     silent: Rc<Cell<Option<Instant>>>,
     following: JoinHandle<()>,
-    _address: watch::Sender<SocketAddr>,
+    address: watch::Sender<SocketAddr>,
 }
 
 impl World {
@@ -74,28 +100,55 @@
         let clock = Clock::start();
         let core = Core::start(&config, clock.now()).expect("it starts");
         let hub = Rc::new(Hub::new(core, clock, Bounds::of(&config).expect("bounds")));
-        let (dialed, silent) = (Rc::<Cell<usize>>::default(), Rc::<Cell<Option<Instant>>>::default());
-        let acts = RefCell::new(VecDeque::from(acts.to_vec()));
-        let (asks, count, since) = (hub.clone(), dialed.clone(), silent.clone());
+        let (dials, silent) = (Rc::<RefCell<Vec<_>>>::default(), Rc::<Cell<Option<Instant>>>::default());
+        let acts = Rc::new(RefCell::new(VecDeque::from(acts.to_vec())));
+        let (asks, dialed, next, since) = (hub.clone(), dials.clone(), acts.clone(), silent.clone());
         hub.subscribe.notify_one();
-        let dial = async move |_: SocketAddr| -> io::Result<DuplexStream> {
-            asks.subscribe.notify_one();
-            count.set(count.get() + 1);
-            let act = acts.borrow()[0];
-            if acts.borrow().len() > 1 {
-                acts.borrow_mut().pop_front();
+        let dial = async move |address: SocketAddr| -> io::Result<DuplexStream> {
+            if !matches!(told, Told::AskedOnce) {
+                asks.subscribe.notify_one();
+            }
+            dialed.borrow_mut().push((address, Instant::now()));
+            let act = next.borrow()[0];
+            if next.borrow().len() > 1 {
+                next.borrow_mut().pop_front();
             }
             if act == Act::Hang {
                 return pending().await;
             }
+            if act == Act::Refused {
+                return Err(io::ErrorKind::ConnectionRefused.into());
+            }
+            if let Act::Late | Act::LateUnreadable = act {
+                sleep(LATE).await;
+            }
             let (ours, theirs) = tokio::io::duplex(1 << 20);
             spawn_local(attend(theirs, act, since.clone()));
             Ok(ours)
         };
         let (sender, address) = watch::channel(ADDRESS.parse().expect("an address"));
-        let asked = matches!(told, Told::Asked);
+        let asked = !matches!(told, Told::Pushed);
         let following = spawn_local(follow(dial, hub.clone(), address, 0, 1, asked));
-        World { hub, dialed, silent, following, _address: sender }
+        World { hub, dials, acts, silent, following, address: sender }
+    }
+
+    fn dialed(&self) -> usize {
+        self.dials.borrow().len()
+    }
+
+    async fn dialed_so_often(&self, times: usize) {
+        let dialed = async {
+            while self.dialed() < times {
+                sleep(DRIP / 100).await;
+            }
+        };
+        timeout(10 * MINUTE, dialed).await.expect("so many calls, within ten minutes");
+    }
+
+    /// Discovery is at another address from now on.
+    fn moves(&self, acts: &[Act]) {
+        *self.acts.borrow_mut() = VecDeque::from(acts.to_vec());
+        self.address.send_replace(NEXT_ADDRESS.parse().expect("an address"));
     }
 
     async fn list(&self, version: u64) {
@@ -121,11 +174,19 @@
         let list = list(act);
         let text = match (watched, act) {
             (true, Act::Unchanged) => STREAM.into(),
+            (true, Act::Unwatched(_)) => format!("{STREAM}{}", chunk("{}")),
             (true, _) => format!("{STREAM}{}", chunk(&list)),
             (false, _) => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()),
         };
         match act {
-            Act::Hang | Act::Silent => return pending().await,
+            Act::Hang | Act::Refused | Act::Silent | Act::Late => return pending().await,
+            Act::Head => {
+                stream.write_all(STREAM.as_bytes()).await?;
+                return pending().await;
+            }
+            Act::Unopened(_) if watched => return pending().await,
+            Act::Ended => return Ok(()),
+            Act::Cut => return stream.write_all(&text.as_bytes()[..text.len() / 2]).await,
             Act::Trickle => drip(stream, text.as_bytes(), 1, DRIP).await?,
             Act::Slow(rate) => drip(stream, text.as_bytes(), rate / 10, DRIP).await?,
             _ => stream.write_all(text.as_bytes()).await?,
@@ -168,9 +229,14 @@
 
 fn list(act: Act) -> String {
     let (version, stores) = match act {
-        Act::Once(version) | Act::Unending(version) | Act::Alive(version) => (version, 1),
+        Act::Unreadable | Act::LateUnreadable => return "{}".into(),
+        Act::Once(version)
+        | Act::Unending(version)
+        | Act::Alive(version)
+        | Act::Unopened(version)
+        | Act::Unwatched(version) => (version, 1),
         Act::Slow(_) => (1, 1024),
-        Act::Hang | Act::Silent | Act::Trickle | Act::Unchanged => (1, 1),
+        _ => (1, 1),
     };
     let store = |n| {
         format!(
@@ -191,7 +257,7 @@
         // The silence of a line that trickles counts from its first byte.
         let bound = begun(acts.len() as u32 - 1) + DRIP;
         assert!(took < TOLD && took <= bound, "{told:?} {acts:?}: {took:?}, at most {bound:?}");
-        assert_eq!(world.dialed.get(), acts.len());
+        assert_eq!(world.dialed(), acts.len());
     }
 }
 
@@ -230,6 +296,35 @@
     in_paused_time(tells_in_time(&[Act::Once(1), Act::Once(0), Act::Alive(2)])).await;
 }
 
+/// Discovery has started anew, and counts from its beginning: what a watch tells is refused, the whole list is not.
+#[tokio::test]
+async fn versions_that_begin_anew_are_taken_with_the_whole_list() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Once(5), Act::Alive(3)]);
+        world.list(3).await;
+        let took = world.silent.get().expect("a watch that fell silent").elapsed();
+        assert!(took < TOLD, "{took:?}");
+        assert_eq!(world.dialed(), 3);
+    })
+    .await;
+}
+
+/// A whole list ends the row, so its watch is not waited for as an outage is.
+#[tokio::test]
+async fn a_watch_that_says_nothing_after_a_whole_list_is_given_up_soon() {
+    in_paused_time(async {
+        let mut acts = vec![Act::Hang; 8];
+        acts.extend([Act::Unopened(1), Act::Alive(2)]);
+        let world = World::new(Told::Pushed, &acts);
+        world.list(1).await;
+        let listed = Instant::now();
+        world.list(2).await;
+        let (took, bound) = (listed.elapsed(), begun(2) - patience::silence());
+        assert!(took <= bound, "{took:?}, at most {bound:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn the_first_whole_list_of_all_that_trickles() {
     in_paused_time(async {
@@ -246,7 +341,53 @@
     in_paused_time(async {
         let world = World::new(Told::Pushed, &[Act::Slow(20_000)]);
         world.list(1).await;
-        assert!(world.dialed.get() > 1, "slow enough to need more than the first patience");
+        assert!(world.dialed() > 1, "slow enough to need more than the first patience");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_large_list_on_a_slow_path_comes_through_whatever_is_tried_beside_it() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Slow(20_000), Act::Hang]);
+        world.list(1).await;
+        assert!(world.dialed() > 1);
+    })
+    .await;
+}
+
+/// Where the module lets time pass too: it is the only call.
+#[tokio::test]
+async fn a_list_that_is_slow_goes_on_while_the_module_waits() {
+    in_paused_time(async {
+        let world = World::new(Told::AskedOnce, &[Act::Slow(20_000)]);
+        world.list(1).await;
+        assert_eq!(world.dialed(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_list_that_is_slow_is_not_heard_after_the_address_has_moved() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Slow(20_000), Act::Hang]);
+        world.dialed_so_often(2).await;
+        world.moves(&[Act::Hang]);
+        let former = world.hub.posted(|input| matches!(input, Input::List(list) if list.version == 1));
+        assert!(timeout(MINUTE, former).await.is_err());
+    })
+    .await;
+}
+
+/// The first list, and the first object of its watch too.
+#[tokio::test]
+async fn a_watch_on_a_slow_path_opens_and_stays() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Slow(20_000)]);
+        sleep(MINUTE).await;
+        let dialed = world.dialed();
+        sleep(MINUTE).await;
+        assert_eq!(world.dialed(), dialed);
     })
     .await;
 }
@@ -257,10 +398,10 @@
     in_paused_time(async {
         let world = World::new(Told::Pushed, &[Act::Unchanged]);
         sleep(MINUTE).await;
-        let dialed = world.dialed.get();
+        let dialed = world.dialed();
         sleep(MINUTE).await;
-        assert_eq!(world.dialed.get(), dialed);
-        assert!(dialed <= 6, "{dialed}");
+        assert_eq!(world.dialed(), dialed);
+        assert!(dialed <= 3, "{dialed}");
     })
     .await;
 }
@@ -270,7 +411,144 @@
     in_paused_time(async {
         let world = World::new(Told::Asked, &[Act::Alive(1)]);
         sleep(10 * MINUTE).await;
-        assert_eq!(world.dialed.get(), 1);
+        assert_eq!(world.dialed(), 1);
+    })
+    .await;
+}
+
+/// What a watch may meet that tells nothing.
+const OF_NO_USE: [Act; 10] = [
+    Act::Hang,
+    Act::Late,
+    Act::LateUnreadable,
+    Act::Silent,
+    Act::Head,
+    Act::Trickle,
+    Act::Refused,
+    Act::Ended,
+    Act::Cut,
+    Act::Unreadable,
+];
+
+/// After a long outage, discovery is back in the moment in which an attempt has begun that is lost, and so is the next one.
+#[tokio::test]
+async fn two_attempts_that_are_lost_in_any_way_after_an_outage_leave_a_third_in_time() {
+    in_paused_time(async {
+        for (first, second) in OF_NO_USE.iter().flat_map(|first| OF_NO_USE.map(|second| (*first, second))) {
+            let mut acts = vec![Act::Once(1)];
+            acts.extend([Act::Hang; 8]);
+            let back = acts.len();
+            acts.extend([first, second, Act::Alive(2)]);
+            let world = World::new(Told::Pushed, &acts);
+            world.list(2).await;
+            let took = world.dials.borrow()[back].1.elapsed();
+            assert!(took < TOLD, "{first:?}, {second:?}: {took:?}");
+        }
+    })
+    .await;
+}
+
+/// The shortest grace of a drain that a deployment is known to have.
+const SHORT_GRACE: Duration = Duration::from_millis(250);
+
+/// What is had at the return counts at once.
+#[tokio::test]
+async fn an_agent_that_refused_for_long_is_asked_within_a_short_grace_of_its_return() {
+    in_paused_time(async {
+        for outage in [Act::Refused, Act::Ended, Act::Cut] {
+            let world = World::new(Told::Pushed, &[outage]);
+            world.dialed_so_often(20).await;
+            let back = Instant::now();
+            *world.acts.borrow_mut() = VecDeque::from([Act::Alive(2)]);
+            world.list(2).await;
+            let took = back.elapsed();
+            assert!(took < SHORT_GRACE, "after {outage:?}: {took:?}");
+        }
+    })
+    .await;
+}
+
+/// What cannot be read costs time to read, and lists that are asked for are priced.
+#[tokio::test]
+async fn neither_garbage_nor_asking_spins() {
+    in_paused_time(async {
+        let garbage = [Act::Unreadable, Act::Unwatched(1)].map(|act| (Told::Pushed, act));
+        let asked = [Act::Refused, Act::Ended].map(|act| (Told::Asked, act));
+        let endless = [garbage, asked].concat();
+        for (told, act) in endless {
+            let world = World::new(told, &[act]);
+            sleep(MINUTE).await;
+            assert!(world.dialed() < 2 * 60 + 10, "{told:?} {act:?}: {}", world.dialed());
+        }
+    })
+    .await;
+}
+
+/// What the old address failed at says nothing of the new one: two attempts there may hang, as after a silence.
+#[tokio::test]
+async fn an_address_that_moves_after_an_outage_gets_fresh_patience() {
+    in_paused_time(async {
+        // In the middle of an attempt, or of the wait after it.
+        for outage in [Act::Hang, Act::Refused] {
+            for told in [Told::Pushed, Told::Asked] {
+                let world = World::new(told, &[outage]);
+                world.dialed_so_often(9).await;
+                let moved = Instant::now();
+                world.moves(&[Act::Hang, Act::Silent, Act::Alive(2)]);
+                world.list(2).await;
+                let took = moved.elapsed();
+                assert!(took < MOVED_TOLD, "{told:?} after {outage:?}: {took:?}");
+                assert_eq!(world.dials.borrow()[9].0, NEXT_ADDRESS.parse().expect("an address"));
+            }
+        }
+    })
+    .await;
+}
+
+/// What the old address had last may be heard from the new one alone: it must not pass for new.
+#[tokio::test]
+async fn a_watch_that_moves_is_told_as_broken() {
+    in_paused_time(async {
+        let world = World::new(Told::Pushed, &[Act::Alive(1)]);
+        world.list(1).await;
+        world.moves(&[Act::Alive(2)]);
+        let broken = world.hub.posted(|input| matches!(input, Input::ListFailed));
+        timeout(MINUTE, broken).await.expect("the core is told");
+    })
+    .await;
+}
+
+/// The module lets more time pass after each failure, up to the whole of `ask_within`.
+#[tokio::test]
+async fn an_address_that_moves_is_asked_although_the_module_waits() {
+    in_paused_time(async {
+        // While the module lets time pass, or in the wait before.
+        for (outage, since) in [(Act::Hang, MINUTE), (Act::Refused, DRIP / 10)] {
+            let world = World::new(Told::AskedOnce, &[outage]);
+            sleep(since).await;
+            assert_eq!(world.dialed(), 1, "the module lets time pass");
+            let moved = Instant::now();
+            world.moves(&[Act::Alive(2)]);
+            world.list(2).await;
+            assert!(moved.elapsed() < MOVED_TOLD, "after {outage:?}: {:?}", moved.elapsed());
+        }
+    })
+    .await;
+}
+
+/// A watch that has long been open has ended the row of failures before it, also where it ends by order.
+#[tokio::test]
+async fn a_whole_list_that_is_fetched_on_order_gets_fresh_patience() {
+    in_paused_time(async {
+        let mut acts = vec![Act::Hang; 8];
+        acts.extend([Act::Alive(1), Act::Hang, Act::Silent, Act::Alive(2)]);
+        let world = World::new(Told::Pushed, &acts);
+        world.list(1).await;
+        let ordered = Instant::now();
+        world.hub.fetch.notify_one();
+        world.list(2).await;
+        let (took, bound) = (ordered.elapsed(), begun(3) - patience::silence());
+        assert!(took <= bound, "{took:?}, at most {bound:?}");
     })
     .await;
 }
