Give every client connection one way to its end, and settle there what it owes

Found by reading, then seen over loopback on the former text: - client.rs, `gone`: with the read-ahead full the client's end was looked for every connect time-out (0.2 s there); an op whose client had closed or reset while it waited was sent on once it could be. - lib.rs, `stop`: once no request waited it exited, whatever `linger` still drained; half a request was closed with no answer then. - client.rs, `next` and `part`: a resting connection was closed without a shutdown, at its time or in closing; a request that crossed reset it. One asked to make room with half a request read was closed without a word. - client.rs, `next`: the time for a request was cut by that of the rest before it: 408 for one that came in two parts around it. - client.rs, `linger`: a connection whose last answer was just written counted as one that had asked nothing, and went for room before all that rested. - client.rs, `serve`: requests read behind one that was answered in closing were dropped with its connection. Ruled out: ops that wait or are out, and answers being written, were waited for; idle clients kept neither usual ones nor discovery out.

Tests: endings.rs. Nine of eleven fail on the former text. The other two hold there (what came around SIGTERM; idle clients) and fail with the wait for open connections, or the asking for room, taken out.

--- /dev/null
+++ b/crates/cli/tests/platform/endings.rs
@@ -0,0 +1,282 @@
+//! What is owed at each ending of a client's connection, and of the process under it.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use umbertray_standin::platform::{Act, Discovery, Store, ok};
+
+use crate::common::{Caller, Node, config, op, patient, within};
+
+const HEALTH: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n";
+/// More than the gateway reads ahead, and less than the system holds for it.
+const MUCH: usize = 40_000;
+
+/// Clients wait for long, and resting connections are closed soon.
+fn impatient_of_rest(discovery: SocketAddr, sockets: usize) -> String {
+    patient(discovery, sockets).replace(r#""connIdleS":20.0"#, r#""connIdleS":4.0"#)
+}
+
+/// The gateway has come to all that was on its sockets before: it has one thread.
+async fn come_round(node: &Node) {
+    for _ in 0..2 {
+        assert_eq!(node.connect().await.ask(HEALTH).await.0, 200);
+    }
+}
+
+/// The gateway has shut the connection and reads on: no reset, whatever is written.
+async fn is_shut_and_read_from(caller: &mut Caller, bytes: &[u8]) {
+    assert_eq!(caller.answer().await, None, "shut, without a word");
+    for _ in 0..2 {
+        caller.stream.write_all(bytes).await.expect("it is not reset");
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(caller.stream.read(&mut [0]).await.expect("it is not reset"), 0);
+}
+
+fn has_seen(store: &Store, n: u64) -> bool {
+    let of = |headers: &umbertray_http::Headers| {
+        headers.one("X-Correlation-Id").expect("once").map(<[u8]>::to_vec)
+    };
+    store.requests().iter().any(|(_, request)| of(&request.headers) == Some(format!("{n:016x}").into_bytes()))
+}
+
+/// Where much was read ahead the end was looked for every connect time-out only; an op was sent on meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_op_of_a_client_that_left_before_its_first_dispatch_is_not_sent_on() {
+    let discovery = Discovery::start().await.expect("loopback");
+    let store = served().await;
+    // The only store of the shard is not to be used yet.
+    discovery.list("s0", store.address, 0, "draining");
+    let node = Node::start(&discovery, 256).await;
+    node.ready().await;
+    let mut callers = Vec::new();
+    for (n, much) in [(1, 0), (2, MUCH), (3, MUCH), (4, MUCH)] {
+        let mut caller = node.connect().await;
+        caller.write(&op("look", 0, n, 2000)).await;
+        caller.write(&vec![b'a'; much]).await;
+        callers.push(caller);
+    }
+    come_round(&node).await;
+    callers[2].stream.set_zero_linger().expect("an open socket");
+    let mut stays = callers.pop().expect("one of four");
+    drop(callers);
+    come_round(&node).await;
+    discovery.list("s0", store.address, 0, "ready");
+    assert_eq!(stays.answer().await.expect("an answer").head.status, 200);
+    assert_eq!(node.connect().await.ask(&op("look", 0, 5, 2000)).await.0, 200);
+    assert_eq!([1, 2, 3, 4, 5].map(|n| has_seen(&store, n)), [false, false, false, true, true]);
+}
+
+/// Half sent, waiting, dispatched, half answered: each has a whole answer, however late the process comes to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_came_around_sigterm_has_a_whole_answer() {
+    let large = "x".repeat(1_000_000);
+    let body = large.clone();
+    let (mut node, store, _discovery) =
+        Node::with(patient, 256, move |n| if n == 0 { Act::Write(ok(&body)) } else { Act::Hold }).await;
+    let mut callers = Vec::new();
+    for (shard, n) in [(0, 1), (0, 2), (3, 3), (0, 4), (0, 5)] {
+        let (mut caller, bytes) = (node.connect().await, op("order", shard, n, 20_000));
+        // The fourth sends the rest after the signal, the fifth never.
+        caller.write(&bytes[..bytes.len() - if n > 3 { 2 } else { 0 }]).await;
+        if n == 1 {
+            // The answer is larger than what is read, and than what the system holds.
+            within(5, "the first at the store", store.until(|seen| !seen.is_empty())).await;
+            let mut first = [0];
+            assert_eq!(within(5, "a byte", caller.stream.peek(&mut first)).await.expect("no reset"), 1);
+        }
+        callers.push(caller);
+    }
+    within(5, "the second at the store", store.until(|seen| seen.len() >= 2)).await;
+    come_round(&node).await;
+    node.signal(Signal::SIGTERM);
+    callers[3].write(b"ta").await;
+    let first = callers[0].answer().await.expect("whole");
+    assert_eq!((first.head.status, first.body.len()), (200, large.len()));
+    for (n, caller) in callers.iter_mut().enumerate().skip(1) {
+        let status = caller.answer().await.expect("a whole answer").head.status;
+        assert!([500, 503].contains(&status), "{n}: {status}");
+        assert_eq!(caller.answer().await, None, "{n}");
+    }
+    drop(callers);
+    assert!(node.ended().await.success());
+}
+
+/// Of requests that came one behind the other the first was answered, the others were read and never heard of again.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_read_behind_a_request_is_answered_before_the_end() {
+    let (mut node, store, _discovery) = Node::with(patient, 256, |_| Act::Hold).await;
+    let mut caller = node.connect().await;
+    caller.write(&[1, 2, 3].map(|n| op("order", 0, n, 20_000)).concat()).await;
+    within(5, "the first at the store", store.until(|seen| !seen.is_empty())).await;
+    node.signal(Signal::SIGTERM);
+    for n in 1..=3 {
+        let status = caller.answer().await.expect("a whole answer").head.status;
+        assert!([500, 503].contains(&status), "{n}: {status}");
+    }
+    assert_eq!(caller.answer().await, None);
+    drop(caller);
+    assert!(node.ended().await.success());
+}
+
+/// Resting connections were closed with what had just come: a reset, which can take an answer along.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_comes_on_a_resting_connection_while_it_closes_is_passed_over() {
+    let (mut node, store, _discovery) = Node::with(patient, 256, |_| Act::Write(ok("served"))).await;
+    let mut resting = node.connect().await;
+    assert_eq!(resting.ask(&op("order", 0, 1, 3000)).await.0, 200);
+    node.signal(Signal::SIGTERM);
+    is_shut_and_read_from(&mut resting, &op("order", 0, 2, 3000)).await;
+    drop(resting);
+    assert!(node.ended().await.success());
+    assert!(!has_seen(&store, 2), "read after the shutdown");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_rested_too_long_is_closed_without_a_reset() {
+    let (node, store, _discovery) = Node::with(impatient_of_rest, 256, |_| Act::Write(ok("served"))).await;
+    let mut resting = node.connect().await;
+    assert_eq!(resting.ask(&op("order", 0, 1, 3000)).await.0, 200);
+    is_shut_and_read_from(&mut resting, &op("order", 0, 2, 3000)).await;
+    come_round(&node).await;
+    assert!(!has_seen(&store, 2), "read after the shutdown");
+}
+
+/// The time for a request was cut by that for the rest before it, and it was told that it came too slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_begins_late_in_a_rest_has_its_own_time() {
+    let (node, _store, _discovery) = Node::with(impatient_of_rest, 256, |_| Act::Write(ok("served"))).await;
+    let mut caller = node.connect().await;
+    assert_eq!(caller.ask(&op("order", 0, 1, 3000)).await.0, 200);
+    let bytes = op("order", 0, 2, 3000);
+    let (half, rest) = bytes.split_at(bytes.len() - 2);
+    tokio::time::sleep(Duration::from_millis(1400)).await;
+    caller.write(half).await;
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    assert_eq!(caller.ask(rest).await.0, 200);
+}
+
+/// The process ended over it: what came then reset the connection and could take the answer along.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_process_waits_for_clients_to_take_their_last_answer() {
+    // Where this test itself is held up it sees the answer late, and tells nothing.
+    for _ in 0..3 {
+        let (mut node, _store, _discovery) = Node::with(patient, 256, |_| Act::Hold).await;
+        let mut half = node.connect().await;
+        half.write(&op("order", 0, 1, 3000)[..40]).await;
+        node.signal(Signal::SIGTERM);
+        assert_eq!(half.answer().await.expect("whole").head.status, 503);
+        let answered = Instant::now();
+        half.write(&vec![b'a'; MUCH]).await;
+        assert!(node.ended().await.success());
+        if answered.elapsed() > Duration::from_millis(60) {
+            return;
+        }
+    }
+    panic!("it ended at once, three times");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_process_ends_once_its_clients_have_closed() {
+    let (mut node, _store, _discovery) = Node::with(patient, 256, |_| Act::Hold).await;
+    let mut half = node.connect().await;
+    half.write(&op("order", 0, 1, 3000)[..40]).await;
+    node.signal(Signal::SIGTERM);
+    assert_eq!(half.answer().await.expect("whole").head.status, 503);
+    assert_eq!(half.answer().await, None);
+    drop(half);
+    assert!(node.ended().await.success());
+}
+
+/// One that had asked before was closed without a word, its request half read.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_request_is_told_that_there_is_no_room() {
+    let (node, _store, _discovery) = Node::with(patient, 40, |_| Act::Write(ok("served"))).await;
+    let mut half = node.connect().await;
+    assert_eq!(half.ask(&op("order", 0, 1, 3000)).await.0, 200);
+    half.write(&op("order", 0, 2, 3000)[..40]).await;
+    let mut others = Vec::new();
+    for n in 3..43 {
+        let mut other = node.connect().await;
+        assert_eq!(other.ask(&op("order", 0, n, 3000)).await.0, 200);
+        others.push(other);
+    }
+    assert_eq!(half.answer().await.expect("a whole answer").head.status, 503);
+    assert_eq!(half.answer().await, None);
+}
+
+/// A connection that is shut over its last answer went before all that rest, and what lay unread there reset it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_just_had_its_last_answer_is_not_the_first_to_go() {
+    let (node, _store, _discovery) = Node::with(patient, 40, |_| Act::Write(ok("served"))).await;
+    let mut resting = Vec::new();
+    for n in 0..21 {
+        let mut caller = node.connect().await;
+        assert_eq!(caller.ask(&op("order", 0, n, 3000)).await.0, 200);
+        resting.push(caller);
+    }
+    let mut refused = node.connect().await;
+    assert_eq!(refused.ask(b"noise\r\n\r\n").await.0, 400);
+    assert_eq!(node.connect().await.ask(&op("order", 0, 99, 3000)).await.0, 200);
+    assert_eq!(resting[0].answer().await, None, "it was answered longest ago");
+    is_shut_and_read_from(&mut refused, b"more noise").await;
+}
+
+/// Discovery goes silent, idle clients take every place; it comes back where it was, with news.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_clients_keep_neither_usual_ones_nor_discovery_out() {
+    let discovery = Discovery::start().await.expect("loopback");
+    let (store, other) = (served().await, served().await);
+    discovery.list("s0", store.address, 0, "ready");
+    let (front, up) = before(&discovery).await;
+    let node = Node::configured(&config(front, 40)).await;
+    node.ready().await;
+    up.send_replace(false);
+    let mut idle = Vec::new();
+    for n in 0..200 {
+        let mut caller = node.connect().await;
+        if n % 2 == 0 {
+            assert_eq!(caller.ask(HEALTH).await.0, 200);
+        }
+        idle.push(caller);
+    }
+    assert_eq!(node.connect().await.ask(&op("order", 0, 1, 3000)).await.0, 200);
+    discovery.list("s3", other.address, 3, "ready");
+    up.send_replace(true);
+    // No store of this shard was known before.
+    let heard = async {
+        for n in 2.. {
+            if node.connect().await.ask(&op("order", 3, n, 3000)).await.0 == 200 {
+                return;
+            }
+        }
+    };
+    within(6, "the news are heard", heard).await;
+}
+
+async fn served() -> Store {
+    Store::start(|_, _| Act::Write(ok("served"))).await.expect("loopback")
+}
+
+/// An address that leads to discovery; while it is not up all there is reset, and who comes is not heard.
+async fn before(discovery: &Discovery) -> (SocketAddr, tokio::sync::watch::Sender<bool>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let (address, to) = (listener.local_addr().expect("bound"), discovery.address);
+    let (up, is_up) = tokio::sync::watch::channel(true);
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut is_up = is_up.clone();
+            tokio::spawn(async move {
+                _ = is_up.wait_for(|up| *up).await;
+                let Ok(mut far) = tokio::net::TcpStream::connect(to).await else { return };
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                    _ = is_up.wait_for(|up| !*up) => {}
+                }
+            });
+        }
+    });
+    (address, up)
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_peers;
 mod common;
+mod endings;
 mod serving;
 mod signals;
 mod sizes;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 mod head;
 pub mod server;
+pub mod serving;
 
 pub use head::Headers;
 
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -29,6 +29,8 @@
 const LINGER: f64 = 1.0 / 6.0;
 /// The part of the time between the longest op timeout and SIGKILL by which all is to be answered after SIGTERM.
 const LEAVING: f64 = 0.7;
+/// The part of it for clients to read their last answers in and close, after that.
+const PARTING: f64 = 0.15;
 /// Against the shortest target latency: how long before that the last ops are taken, since an answer takes about so
 /// long at a store that bears its load; and how long before it all are given up, since looks at them are that rare.
 const LAST: f64 = 0.5;
@@ -60,6 +62,8 @@
     pub taking: Duration,
     pub trying: Duration,
     pub leaving: Duration,
+    /// After that, and after the last answer if that is later: for clients to close.
+    pub parting: Duration,
     pub linger: Duration,
 }
 
@@ -101,6 +105,7 @@
             taking: leaving.saturating_sub(shortest.mul_f64(LAST)).max(words::STILL_COMING),
             trying: leaving.saturating_sub(shortest.mul_f64(GIVEN_UP)),
             leaving,
+            parting: words::KILLED_AFTER_THAT.mul_f64(PARTING),
             linger: longest.mul_f64(LINGER),
         })
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -104,7 +104,7 @@
 /// is answered.
 async fn stop(hub: &Hub, told: &Notify) {
     told.notified().await;
-    let Bounds { taking, trying, leaving, speak, .. } = hub.bounds;
+    let Bounds { taking, trying, leaving, speak, parting, .. } = hub.bounds;
     let at = |span| hub.clock.instant(hub.clock.now() + span).into();
     let (closing, end): (Instant, Instant) = (at(taking), at(leaving));
     tracing::info!(open = hub.open(), clients = hub.guests.len(), "stopping");
@@ -115,12 +115,14 @@
     if timeout_at(end, hub.guests.empty()).await.is_ok() {
         return;
     }
-    // Danger: what was taken is lost without its whole answer, and this process may have come to it late. Whoever has
-    // not sent a whole request by now, or has had an answer and does not close, holds nothing up.
+    // Danger: what was taken is lost without its whole answer, and this process may have come to it late. Who has sent
+    // no whole request by now is turned away.
     let answered = timeout(speak, hub.guests.answered()).await.is_ok();
+    // Danger: bytes that lie unread when the process ends reset their connections, and answers go with them.
+    let parted = timeout(parting, hub.guests.empty()).await.is_ok();
     let clients = hub.guests.len();
     match answered {
-        true => tracing::info!(clients, "stopped with open connections"),
+        true => tracing::info!(clients, parted, "stopped with open connections"),
         false => tracing::warn!(open = hub.open(), clients, "stopped with requests unanswered"),
     }
 }
