Take an answer without a length as whole where its connection ends in good order

Those closed in good order were whole, those reset had 300, 600 or 900 bytes. All were refused as `Malformed::NoLength` at their head, so that an op that had run was failed, or sent again.

To blame: `Answers::head`, which had no framing for them.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -12,15 +12,18 @@
 pub enum Framing {
     Length(u64),
     Chunked,
+    /// Up to the end of its connection.
+    UntilClose,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Length(u64),
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
     Trailer(usize),
+    UntilClose,
     Done,
 }
 
@@ -33,9 +36,17 @@
         Decoder(match framing {
             Framing::Length(length) => State::Length(length),
             Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
         })
     }
 
+    /// The connection has ended in good order; true if that ends the body. A reset does not.
+    pub(crate) fn closed(&mut self) -> bool {
+        let ends = self.0 == State::UntilClose;
+        self.0 = if ends { State::Done } else { self.0 };
+        ends
+    }
+
     /// What is still to come for sure.
     pub(crate) fn left(&self) -> usize {
         match self.0 {
@@ -53,6 +64,10 @@
                     0 => return Ok(false),
                     n => State::Length(left - n),
                 },
+                State::UntilClose => {
+                    body.unsplit(bytes.split());
+                    return Ok(false);
+                }
                 State::ChunkSize => match httparse::parse_chunk_size(bytes) {
                     Ok(httparse::Status::Complete((used, size))) => {
                         bytes.advance(used);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -48,8 +48,7 @@
                 100..200 => return Err(Malformed::Interim),
                 204 | 304 => self.begin(head, Framing::Length(0)),
                 _ => {
-                    // Danger: a body that ends with its connection cannot be told from one that was cut off.
-                    let framing = head.headers.framing()?.ok_or(Malformed::NoLength)?;
+                    let framing = head.headers.framing()?.unwrap_or(Framing::UntilClose);
                     if minor == 0 && framing == Framing::Chunked {
                         return Err(Malformed::Coding);
                     }
@@ -81,6 +80,13 @@
         })
     }
 
+    /// The connection has ended in good order: the answer, if its body was to go up to there (RFC 9112, 6.3). Danger: a
+    /// reset is no end; after one, what has come of such an answer may have been cut.
+    pub fn closed(&mut self) -> Result<Option<Answer>, Malformed> {
+        let ends = self.decoder.as_mut().is_some_and(Decoder::closed);
+        if ends { self.answer() } else { Ok(None) }
+    }
+
     /// For a body that is read as it comes: moves what there is of it, and tells whether it has ended.
     pub fn stream(&mut self, into: &mut BytesMut) -> Result<bool, Malformed> {
         if self.head()?.is_none() {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -33,8 +33,6 @@
     LengthAndCoding,
     #[error("Content-Length is not one decimal number")]
     Length,
-    #[error("the body is not ended by a length or by chunks")]
-    NoLength,
     #[error("a Transfer-Encoding other than chunked")]
     Coding,
     #[error("a chunk cannot be read")]
