Withhold dispatches at their first byte where their end has come meanwhile

`Core::begin` looked at its op's end and at its store alone. A further dispatch of a deduplicated op went out after the span in which stores remember its mark, and one of an op type that settings made once-only meanwhile. `begin` now counts that span from the first byte of the first dispatch that may have run, and goes by the settings of the moment. - A client's end is known to the core at its next turn only, and a gateway that stood still found the connection and the end at the same moment: `Pools::link` lets what has come be seen first, and `Hub::begin` asks whether anybody waits. - What was connecting or half written for a client that left went on. `Deed::Withhold` ends it. That tells nothing of the store: `Returned::Withheld` is moot to the module, where `NeverWritten` put the store in doubt. - A connection was used again as soon as an answer had come. It rests for a sixteenth of the connect time-out now. - An answer without a length is taken at the end of its connection.

Tests were seen to fail without: the span, the settings of the moment, the rest, the answer without a length. Not forced over sockets: a request that is half written when its client leaves, as loopback holds 64 KiB of it; the yield before the first byte.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -7,3 +7,4 @@
 mod serving;
 mod signals;
 mod sizes;
+mod store_endings;
--- /dev/null
+++ b/crates/cli/tests/platform/store_endings.rs
@@ -0,0 +1,171 @@
+//! What is owed at each ending of a connection to a store. The store is a script over the bytes of each connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use umbertray_http::Limits;
+use umbertray_http::server::{Next, Request, Requests};
+use umbertray_standin::platform::{Discovery, ok};
+
+use crate::common::{Node, config, op, within};
+
+/// One connection at a store: what has come whole over it is counted for all of them.
+struct Peer {
+    stream: TcpStream,
+    requests: Requests,
+    /// How many connections came before.
+    number: usize,
+    taken: Arc<watch::Sender<usize>>,
+}
+
+impl Peer {
+    async fn request(&mut self) -> Option<Request> {
+        loop {
+            if let Ok(Next::Request(request)) = self.requests.request() {
+                self.taken.send_modify(|taken| *taken += 1);
+                return Some(request);
+            }
+            if !matches!(self.stream.read_buf(&mut self.requests.bytes).await, Ok(1..)) {
+                return None;
+            }
+        }
+    }
+
+    async fn write(&mut self, bytes: &[u8]) {
+        _ = self.stream.write_all(bytes).await;
+    }
+
+    /// Resets the connection, once the gateway has had what was written.
+    async fn reset(self) {
+        self.stream.set_zero_linger().expect("an open socket");
+    }
+}
+
+/// A store whose connections are each attended to by the script; and how many requests came whole.
+async fn store<F: Future<Output = ()> + Send + 'static>(
+    script: impl Fn(Peer) -> F + Send + 'static,
+) -> (SocketAddr, watch::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let (taken, count) = watch::channel(0);
+    let taken = Arc::new(taken);
+    tokio::spawn(async move {
+        for number in 0.. {
+            let Ok((stream, _)) = listener.accept().await else { return };
+            let requests = Requests::new(Limits { head: 8192, body: 1 << 20 });
+            tokio::spawn(script(Peer { stream, requests, number, taken: taken.clone() }));
+        }
+    });
+    (address, count)
+}
+
+async fn gateway(store: SocketAddr, text: fn(SocketAddr, usize) -> String) -> (Node, Discovery) {
+    let discovery = Discovery::start().await.expect("loopback");
+    discovery.list("s0", store, 0, "ready");
+    let node = Node::configured(&text(discovery.address, 256)).await;
+    node.ready().await;
+    (node, discovery)
+}
+
+/// Connections come up late, and rest long after an answer.
+fn late(discovery: SocketAddr, sockets: usize) -> String {
+    config(discovery, sockets).replace(r#""dialTimeoutS":0.2"#, r#""dialTimeoutS":8.0"#)
+}
+
+/// The op type that may not run twice is failed, and the other sent again, wherever its answer is cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_is_never_passed_on() {
+    const CUT: [&[u8]; 7] = [
+        b"",
+        b"HTTP/1.1 2",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nhalf of it",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf of it",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf of it\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf of it\r\n0\r\n",
+    ];
+    for cut in CUT {
+        let (address, taken) = store(move |mut peer| async move {
+            while let Some(request) = peer.request().await {
+                match &*request.method {
+                    "PUT" => {
+                        peer.write(cut).await;
+                        return peer.reset().await;
+                    }
+                    _ => peer.write(&ok("its own")).await,
+                }
+            }
+        })
+        .await;
+        let (node, _discovery) = gateway(address, config).await;
+        let mut caller = node.connect().await;
+        let what = String::from_utf8_lossy(cut);
+        assert_eq!(caller.ask(&op("order", 0, 1, 1000)).await, (500, String::new()), "{what}");
+        assert_eq!(caller.ask(&op("look", 0, 2, 1000)).await, (200, "its own".into()), "{what}");
+        assert_eq!(*taken.borrow(), 2, "{what}");
+    }
+}
+
+/// It was refused whole: a once-only op that had run was failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_served_if_its_connection_ends_in_good_order() {
+    for reset in [false, true] {
+        let (address, _) = store(move |mut peer| async move {
+            if peer.request().await.is_some() {
+                peer.write(b"HTTP/1.1 200 OK\r\nContent-Type: own/kind\r\n\r\nall of it").await;
+                if reset {
+                    peer.reset().await;
+                }
+            }
+        })
+        .await;
+        let (node, _discovery) = gateway(address, config).await;
+        let answer = node.connect().await.ask(&op("order", 0, 1, 1000)).await;
+        let expected = if reset { (500, "") } else { (200, "all of it") };
+        assert_eq!((answer.0, &*answer.1), expected, "reset: {reset}");
+    }
+}
+
+/// A second answer, a while after the first: the next request over that connection had it for its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_answer_that_comes_late_is_nobodys() {
+    let (address, _) = store(|mut peer| async move {
+        for answer in ["its own", "a second one"] {
+            if peer.request().await.is_some() {
+                peer.write(&ok(answer)).await;
+            }
+        }
+    })
+    .await;
+    let (node, _discovery) = gateway(address, late).await;
+    let mut caller = node.connect().await;
+    for n in 0..5 {
+        assert_eq!(caller.ask(&op("order", 0, n, 2000)).await, (200, "its own".into()), "{n}");
+    }
+}
+
+/// Once it has rested a connection is used again: a store holds few.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_has_rested_is_used_again() {
+    let (address, _) = store(|mut peer| async move {
+        let name = peer.number.to_string();
+        while peer.request().await.is_some() {
+            peer.write(&ok(&name)).await;
+        }
+    })
+    .await;
+    let (node, _discovery) = gateway(address, config).await;
+    let mut caller = node.connect().await;
+    assert_eq!(caller.ask(&op("order", 0, 0, 2000)).await, (200, "0".into()));
+    let again = async {
+        for n in 1.. {
+            if caller.ask(&op("order", 0, n, 2000)).await == (200, "0".into()) {
+                return;
+            }
+        }
+    };
+    within(5, "the first connection again", again).await;
+}
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -35,6 +35,9 @@
 /// long at a store that bears its load; and how long before it all are given up, since looks at them are that rare.
 const LAST: f64 = 0.5;
 const GIVEN_UP: f64 = 0.125;
+/// Against the connect time-out: for so long a connection to a store has to be silent after an answer before it is used
+/// again. What a store still says of the last request is under way no longer than a connection takes to come up.
+const REST: f64 = 1.0 / 16.0;
 /// Parts of the idle time in the settings after which connections to stores and of clients are closed.
 const STORE_IDLE: f64 = 0.5;
 const CLIENT_IDLE: f64 = 0.5;
@@ -55,6 +58,7 @@
     pub stores: usize,
     pub one_store: usize,
     pub connect: Duration,
+    pub rest: Duration,
     pub store_idle: Duration,
     pub client_idle: Duration,
     pub speak: Duration,
@@ -98,6 +102,7 @@
             stores,
             one_store: part(stores, ONE_STORE),
             connect: span("limits.connect_timeout")?,
+            rest: span("limits.connect_timeout")?.mul_f64(REST),
             store_idle: idle.mul_f64(STORE_IDLE),
             client_idle: idle.mul_f64(CLIENT_IDLE),
             speak: longest.mul_f64(SPEAK),
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -97,8 +98,11 @@
         self.post(Input::Left(client));
     }
 
+    /// Danger: the core hears only at its next turn that a client has left.
     pub fn begin(&self, call: Call) -> Option<Bytes> {
-        self.core.borrow().begin(call, self.clock.now())
+        let mut core = self.core.borrow_mut();
+        let client = core.client(call)?;
+        self.answers.borrow().contains_key(&client).then(|| core.begin(call, self.clock.now()))?
     }
 
     pub fn id(&self, call: Call) -> Option<Box<str>> {
@@ -168,6 +172,15 @@
                     self.post(Input::Returned { call, returned, at: self.clock.now() });
                 }
             }
+            Deed::Withhold { call } => {
+                let mut work = self.work.borrow_mut();
+                if let Entry::Occupied(entry) = work.entry(call)
+                    && !entry.get().written.get()
+                {
+                    entry.remove().task.abort();
+                    self.post(Input::Returned { call, returned: Returned::Withheld, at: self.clock.now() });
+                }
+            }
             Deed::Probe { store, address } => {
                 let hub = self.clone();
                 tokio::task::spawn_local(async move {
--- a/crates/node/src/patience.rs
+++ b/crates/node/src/patience.rs
@@ -43,8 +43,8 @@
 /// The wait after a failure, at first and at most.
 const FIRST_WAIT: f64 = 0.05;
 const LONGEST_WAIT: f64 = 0.5;
-/// The same where a call costs nothing. What a pushed list has at the return counts at once: this is below the shortest
-/// grace known, 0.25 s, and still no more than 10 calls a second.
+/// The same where a call costs nothing. What a pushed list has at the return counts at once, and what is told by it has
+/// its grace from then on; shorter waits would be more than 10 calls a second.
 const CLOSED_WAIT: f64 = 0.1;
 /// More failures change nothing.
 const MOST: u32 = 8;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,7 +13,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::task::yield_now;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use umbertray_http::client::{self, Answers};
 use umbertray_platform::{Call, Returned, StoreId, words};
 
@@ -21,10 +23,20 @@
 
 #[derive(Default)]
 struct Pool {
+    /// In the order in which they were put back.
     idle: Vec<(TcpStream, Instant)>,
     open: usize,
 }
 
+impl Pool {
+    /// The one put back last of those that have been silent for so long. Danger: a second answer to what was asked
+    /// before may come some milliseconds late; over a connection in use again it would be taken for another's.
+    fn rested(&mut self, rest: Duration) -> Option<(TcpStream, Instant)> {
+        let at = self.idle.iter().rposition(|(_, since)| since.elapsed() >= rest)?;
+        Some(self.idle.remove(at))
+    }
+}
+
 /// All connections to stores, in use and idle.
 pub struct Pools {
     bounds: Bounds,
@@ -68,22 +80,33 @@
         self.room.notify_waiters();
     }
 
-    /// The connection used last of those that stand idle. Danger: what can be read while nothing was asked is the end
+    /// The connection used last of those that have rested. Danger: what can be read while nothing was asked is the end
     /// of the connection or an answer to something else; either way it is of no further use.
     fn idle(&self, address: SocketAddr) -> Option<Link<'_>> {
         let mut spoilt = 0;
         let stream = loop {
-            let popped = self.pools.borrow_mut().get_mut(&address).and_then(|pool| pool.idle.pop());
-            let Some((stream, since)) = popped else { break None };
+            let rested =
+                self.pools.borrow_mut().get_mut(&address).and_then(|pool| pool.rested(self.bounds.rest));
+            let Some((stream, since)) = rested else { break None };
             if silent(&stream) && since.elapsed() < self.bounds.store_idle {
                 break Some(stream);
             }
+            tracing::debug!(store = %address, rested = ?since.elapsed(), "a connection that stood idle has ended or is spoilt");
             spoilt += 1;
         };
         self.closed(address, spoilt);
         stream.map(|stream| Link { pools: self, address, stream: Some(stream) })
     }
 
+    /// Until one of those that stand idle has rested.
+    async fn rest(&self, address: SocketAddr) {
+        let oldest = self.pools.borrow().get(&address).and_then(|pool| Some(pool.idle.first()?.1));
+        match oldest {
+            Some(since) => sleep_until((since + self.bounds.rest).into()).await,
+            None => pending().await,
+        }
+    }
+
     /// Room for a new connection, at the cost of one that stands idle at another store if need be.
     fn slot(&self, address: SocketAddr) -> Option<Link<'_>> {
         if self.open.get() >= self.bounds.stores {
@@ -135,20 +158,29 @@
         }
     }
 
-    /// A connection to this address: one that stands idle, or a new one.
+    /// A connection to this address: one that stands idle, or a new one. Danger: this gateway may have stood still while
+    /// it was waited for; what has come meanwhile, the end of a client among it, is seen by its task first.
     async fn link(&self, address: SocketAddr) -> Option<Link<'_>> {
         loop {
             let room = self.room.notified();
             if let Some(link) = self.idle(address) {
-                return Some(link);
+                yield_now().await;
+                if link.stream.as_ref().is_some_and(silent) {
+                    return Some(link);
+                }
+                continue;
             }
             if let Some(mut link) = self.slot(address) {
                 let stream = timeout(self.bounds.connect, TcpStream::connect(address)).await.ok()?.ok()?;
                 _ = stream.set_nodelay(true);
                 link.stream = Some(stream);
+                yield_now().await;
                 return Some(link);
             }
-            room.await;
+            tokio::select! {
+                () = room => {}
+                () = self.rest(address) => {}
+            }
         }
     }
 }
@@ -185,12 +217,20 @@
     written: &Cell<bool>,
 ) -> (Returned, Duration) {
     let sent = timeout_at(due, async {
-        let mut link = hub.pools.link(address).await?;
-        let bytes = hub.begin(call)?;
-        write(&mut link, &bytes, written).await?;
-        Some(link)
+        let mut link = hub.pools.link(address).await.ok_or(Returned::NeverWritten)?;
+        let Some(bytes) = hub.begin(call) else {
+            // Nothing went over it: the next dispatch has it.
+            hub.pools.put_back(link);
+            return Err(Returned::Withheld);
+        };
+        write(&mut link, &bytes, written).await.ok_or(Returned::NeverWritten)?;
+        Ok(link)
     });
-    let Ok(Some(link)) = sent.await else { return (Returned::NeverWritten, hub.clock.now()) };
+    let link = match sent.await {
+        Ok(Ok(link)) => link,
+        Ok(Err(returned)) => return (returned, hub.clock.now()),
+        Err(_) => return (Returned::NeverWritten, hub.clock.now()),
+    };
     match timeout_at(due, answer(hub, link)).await {
         Ok(returned) => returned,
         Err(_) => (Returned::TimedOut, hub.clock.now()),
@@ -212,20 +252,22 @@
         answers.bytes.reserve(hub.bounds.http.head);
         let read = stream.read_buf(&mut answers.bytes).await;
         let at = hub.clock.now();
-        if !matches!(read, Ok(1..)) {
-            return (Returned::Broken, at);
-        }
-        let read = answers.answer();
+        let (read, ended) = match read {
+            Ok(1..) => (answers.answer(), false),
+            Ok(0) => (answers.closed(), true),
+            Err(_) => return (Returned::Broken, at),
+        };
         if !room.holds(answers.size()) {
             tracing::warn!(store = %link.address, size = answers.size(), "no room for an answer");
             return (Returned::Broken, at);
         }
         match read {
+            Ok(None) if ended => return (Returned::Broken, at),
             Ok(None) => {}
             Ok(Some(mut answer)) => {
                 answer.body = room.keeping(answer.body);
                 // Danger: what came behind the answer belongs to no request; the next would be answered with it.
-                if answer.head.persists && answers.bytes.is_empty() {
+                if !ended && answer.head.persists && answers.bytes.is_empty() {
                     hub.pools.put_back(link);
                 }
                 return (Returned::Answer(answer), at);
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -43,6 +43,8 @@
     TimedOut,
     /// Called off after it was written whole.
     Cancelled,
+    /// Called off by this gateway before it was written whole: it never ran, and that tells nothing of the store.
+    Withheld,
 }
 
 impl std::fmt::Display for Returned {
@@ -55,6 +57,7 @@
             Returned::Broken => write!(f, "broken"),
             Returned::TimedOut => write!(f, "timed out"),
             Returned::Cancelled => write!(f, "cancelled"),
+            Returned::Withheld => write!(f, "withheld"),
         }
     }
 }
@@ -125,6 +128,10 @@
     Cancel {
         call: Call,
     },
+    /// To be called off, unless it has been written whole.
+    Withhold {
+        call: Call,
+    },
     Probe {
         store: StoreId,
         address: SocketAddr,
@@ -146,6 +153,8 @@
     /// Dispatches without an outcome: their number, store, when they were sent and until when they may take.
     out: Vec<Out>,
     sent: u32,
+    /// When the first dispatch that may have run began.
+    ran_at: Option<Duration>,
     ended: bool,
 }
 
@@ -154,6 +163,8 @@
     store: StoreId,
     at: Duration,
     until: Duration,
+    /// When its bytes were given out.
+    begun_at: Option<Duration>,
 }
 
 struct Store {
@@ -216,6 +227,20 @@
     refused.map_or(Ok(names), Err)
 }
 
+/// Rule 2, at a dispatch's first byte. Danger: its connection may come up late, or the settings change, after the module
+/// has decided on it; stores remember a mark only for a span, and a once-only op may not run again at all.
+fn repeatable(settings: &Settings, op_type: usize, ran_at: Option<Duration>, now: Duration) -> bool {
+    let Some(ran_at) = ran_at else { return true };
+    match settings.get(&format!("op_types.{op_type}.repeats")).map(String::as_str) {
+        Some("replayable") => true,
+        Some("deduplicated") => {
+            let remembered = span(settings, &format!("op_types.{op_type}.dedup_span")).unwrap_or_default();
+            now + span(settings, "tick").unwrap_or_default() < ran_at + remembered
+        }
+        _ => false,
+    }
+}
+
 /// How long a store may be sent to after it was told that it drains.
 fn grace(settings: &Settings) -> Duration {
     span(settings, "rules.drain_grace").unwrap_or_default()
@@ -300,12 +325,19 @@
         std::mem::take(&mut self.deeds)
     }
 
-    /// The bytes of a dispatch, once a connection for it stands. Nothing, if its op has its final answer by now or its
-    /// store is not to be used any more (rules 1 and 3): it is then to be returned as never written.
-    pub fn begin(&self, call: Call, now: Duration) -> Option<Bytes> {
-        let door = self.ops.get(&call.op).filter(|door| !door.ended)?;
-        let out = door.out.iter().find(|out| out.dispatch == call.dispatch && now < out.until)?;
+    /// Who waits for the answer to this op.
+    pub fn client(&self, call: Call) -> Option<ClientId> {
+        self.ops.get(&call.op).filter(|door| !door.ended).map(|door| door.client)
+    }
+
+    /// The bytes of a dispatch, once a connection for it stands. Nothing, if its op has its final answer by now, its
+    /// store is not to be used any more, or it would be a second effect by now (rules 1 to 3): it is then withheld.
+    pub fn begin(&mut self, call: Call, now: Duration) -> Option<Bytes> {
+        let may_repeat = |door: &Door| repeatable(&self.settings, door.ask.op_type, door.ran_at, now);
+        let door = self.ops.get_mut(&call.op).filter(|door| !door.ended && may_repeat(door))?;
+        let out = door.out.iter_mut().find(|out| out.dispatch == call.dispatch && now < out.until)?;
         let store = self.stores.get(&out.store).filter(|store| store.takes(now, self.grace))?;
+        out.begun_at = Some(now);
         let left = (out.until - now).as_millis().to_string();
         let (host, ask) = (store.address.to_string(), &door.ask);
         let mut told = vec![(words::ID, ask.id.as_bytes()), (words::TIME_LEFT, left.as_bytes())];
@@ -391,7 +423,7 @@
         }));
         self.open.insert(ask.id.clone());
         self.clients.insert(client, id);
-        self.ops.insert(id, Door { client, ask, out: Vec::new(), sent: 0, ended: false });
+        self.ops.insert(id, Door { client, ask, out: Vec::new(), sent: 0, ran_at: None, ended: false });
     }
 
     /// The op has its final answer, or nobody waits for one.
@@ -401,6 +433,8 @@
             self.open.remove(&door.ask.id);
             self.clients.remove(&door.client);
         }
+        let unwritten = door.out.iter().map(|out| Call { op, dispatch: out.dispatch });
+        self.deeds.extend(unwritten.map(|call| Deed::Withhold { call }));
         if door.out.is_empty() {
             self.ops.remove(&op);
         }
@@ -417,6 +451,9 @@
         let Some(door) = self.ops.get_mut(&call.op) else { return };
         let Some(place) = door.out.iter().position(|out| out.dispatch == call.dispatch) else { return };
         let out = door.out.swap_remove(place);
+        if !matches!(outcome(&returned), Outcome::ConnectFailed | Outcome::Full | Outcome::Moot) {
+            door.ran_at = door.ran_at.or(out.begun_at);
+        }
         let was_ended = door.ended;
         let mut answer = Answer {
             op: call.op,
@@ -517,7 +554,7 @@
                     return;
                 };
                 let call = Call { op, dispatch: door.sent };
-                door.out.push(Out { dispatch: door.sent, store, at, until });
+                door.out.push(Out { dispatch: door.sent, store, at, until, begun_at: None });
                 door.sent += 1;
                 self.deeds.push(Deed::Send { call, store, address, until });
             }
@@ -561,5 +598,6 @@
         Returned::Broken => Outcome::Reset,
         Returned::TimedOut => Outcome::TimedOut,
         Returned::Cancelled => Outcome::Cancelled,
+        Returned::Withheld => Outcome::Moot,
     }
 }
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -490,7 +490,7 @@
     let marked = SETTINGS
         .replace(r#""effect":"single_shot""#, r#""effect":"guarded","dedupScope":"all","windowS":5.0"#);
     let mut world = World::with(&marked, &[entry("s0", 0, "ready", 0)]);
-    let bytes = |world: &World, call| {
+    let bytes = |world: &mut World, call| {
         let bytes = world.core.begin(call, world.now).expect("it may begin");
         String::from_utf8(bytes.to_vec()).expect("text")
     };
@@ -498,16 +498,75 @@
     asked.push(("Idempotency-Key", "\"Mark 7\""));
     let (_, deeds) = world.ask(&request("PUT", "/order/00000000000000aa/00000000000000bb", &asked, "data"));
     let (first, _) = sent(&deeds)[0];
-    assert!(bytes(&world, first).contains("\r\nIdempotency-Key: \"Mark 7\"\r\n"));
+    assert!(bytes(&mut world, first).contains("\r\nIdempotency-Key: \"Mark 7\"\r\n"));
     let mut again = world.returned(first, Returned::Broken);
     again.extend(world.pass(ms(150)));
     let (second, _) = sent(&again)[0];
-    assert!(bytes(&world, second).contains("\r\nIdempotency-Key: \"Mark 7\"\r\n"));
+    assert!(bytes(&mut world, second).contains("\r\nIdempotency-Key: \"Mark 7\"\r\n"));
     asked.push(("Idempotency-Key", "another"));
     let doubled = request("PUT", "/order/00000000000000aa/00000000000000bb", &asked, "data");
     assert_eq!(refusal(&doubled).status, 400, "stores would see two marks");
     let (_, deeds) = world.ask(&look(1));
-    assert!(sent(&deeds).iter().all(|(call, _)| !bytes(&world, *call).contains("Idempotency-Key")));
+    assert!(sent(&deeds).iter().all(|(call, _)| !bytes(&mut world, *call).contains("Idempotency-Key")));
+}
+
+/// A deduplicated op whose first dispatch may have run, and a further one that is decided on within the span in which
+/// stores remember its mark, here 600 ms. Its connection comes up late.
+fn decided_again(repeats: &str) -> (World, Call) {
+    let marked = SETTINGS.replace(r#""effect":"single_shot""#, repeats);
+    let mut world = World::with(&marked, &[entry("s0", 0, "ready", 0)]);
+    let (_, deeds) = world.ask(&order(1));
+    let (first, _) = sent(&deeds)[0];
+    assert!(world.core.begin(first, world.now).is_some());
+    world.pass(ms(20));
+    let mut again = world.returned(first, Returned::Broken);
+    again.extend(world.pass(ms(130)));
+    let (second, _) = sent(&again)[0];
+    (world, second)
+}
+
+const MARKED: &str = r#""effect":"guarded","dedupScope":"all","windowS":0.6"#;
+
+/// Rule 2: it began when stores had forgotten the mark.
+#[test]
+fn a_further_dispatch_does_not_begin_once_its_mark_is_forgotten() {
+    for (wait, begins) in [(400, true), (500, false)] {
+        let (mut world, second) = decided_again(MARKED);
+        world.now += ms(wait);
+        assert_eq!(
+            world.core.begin(second, world.now).is_some(),
+            begins,
+            "{wait} ms after it was decided on"
+        );
+        world.returned(second, Returned::Withheld);
+    }
+}
+
+/// Rule 2: the settings of the moment decide, not those that it was decided by.
+#[test]
+fn a_further_dispatch_does_not_begin_once_its_op_type_may_run_once_only() {
+    let (mut world, second) = decided_again(MARKED);
+    assert!(world.core.begin(second, world.now).is_some());
+    let (mut world, second) = decided_again(MARKED);
+    let once_only = Config::read(&config(SETTINGS, &list(1, true, &[]))).expect("a configuration").settings;
+    world.tell(vec![Input::Changed(once_only)]);
+    assert_eq!(world.core.begin(second, world.now), None);
+}
+
+/// What a client that has left asked for is called off, wherever it is; what was written whole stays out.
+#[test]
+fn what_is_out_for_a_client_that_left_is_withheld() {
+    let mut world = World::new();
+    let (client, deeds) = world.ask(&order(1));
+    let (call, _) = sent(&deeds)[0];
+    assert_eq!(world.core.client(call), Some(client));
+    let deeds = world.tell(vec![Input::Left(client)]);
+    assert!(deeds.contains(&Deed::Withhold { call }), "{deeds:?}");
+    assert_eq!((world.core.client(call), world.core.begin(call, world.now)), (None, None));
+    // That this gateway called it off tells nothing of its store: the next goes there at once.
+    world.returned(call, Returned::Withheld);
+    let (_, deeds) = world.ask(&look(2));
+    assert_eq!(sent(&deeds).len(), 1);
 }
 
 /// How often an op is sent on from one store of its shard to another, in a zone each, when its first dispatch may have
