Keep a cold store's paced ops within each gateway's even part, or one op at a time

Seen, in virtual time: one cold store, 1 to 300 gateways of unequal traffic, volumes through 1 to 4 gateways that ask for three times their plans' rates, told at one moment, restarting, or told up to 3 s late. Counted: work in any span of the rule, all gateways summed, against N + 2 x root of N + 2, where N is stores.cold_units x warmth / rules.cold_from over stores.mean_units: the strict reading, as nothing else that a gateway is told says what a store does. "Crowd": the plans' rates at the store against N's own rate when warm. Even a gateway alone passed the bound.

Cause: `bears` let an op go by the even part or by its volume's pace. What was paced went however much was spent, so both came in sum, and each volume of a busy gateway was paced for itself. Ruled out: the even part alone (an op is never sent past it, and the sum of parts is N), a restart (nothing goes within a span of the start and the phase is drawn anew: restarted fleets send less in all), late news (no more than the same told in time).

Change: a due op goes only if the gateway has then spent no more than its even part, or one op (of mean work at least), within the span.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -721,9 +721,10 @@
         let even = bearable / self.setting("gateways", 1.0).max(1.0);
         let phase = hashed((self.seed, op.volume, store.back_at)) as f64 / u64::MAX as f64;
         let to = store.volumes[&op.volume].paced_to;
-        let due = |pace: Duration| self.now >= to.max(store.back_at + pace.mul_f64(phase));
-        self.now >= self.started + window
-            && (op.units + spent <= even || self.pace(op, warmth).is_some_and(due))
+        let due = |pace: &Duration| self.now >= to.max(store.back_at + pace.mul_f64(phase));
+        // Danger: beside the even part, or each volume's by itself, what is paced passes the rule in sum.
+        let paced = self.pace(op, warmth).filter(due).map_or(0.0, |_| self.mean_units.max(op.units));
+        self.now >= self.started + window && op.units + spent <= even.max(paced)
     }
 
     /// How long a volume waits after an op like this to a cold store: its gateways together send the plan's
