--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -1,4 +1,4 @@
-//! Time in the module's one entry point an op done, as what is held grows. `cargo run --release --example cost`
+//! Time in the module's one entry point an op done, as what is held and what is listed grows. `cargo run --release --example cost`
 //!
 //! One gateway in its own time: each dispatch is acked after 1 ms, and for each op that ends another comes, so that as
 //! many stay open. All ops are of one plan and type, one unit each.
@@ -100,9 +100,9 @@
 }
 
 fn main() {
-    let cases =
-        [(10, 10, 100), (10, 100, 1000), (10, 1000, 1000), (50, 1000, 16_000), (500, 10_000, 100_000)];
-    for (stores, volumes, open) in cases {
+    let held = [(10, 10, 100), (10, 100, 1000), (10, 1000, 1000), (50, 1000, 16_000), (500, 10_000, 100_000)];
+    let listed = [(250, 4000, 200), (1000, 4000, 200), (4000, 4000, 200)];
+    for (stores, volumes, open) in held.into_iter().chain(listed) {
         let us = cost(stores, volumes, open, 20_000);
         println!("{stores} stores, {volumes} volumes, {open} open: {us:.1} us an op");
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,13 +1,12 @@
 //! Every decision of a gateway: which held op goes to which store, when, and which is turned away.
-//!
-//! Callers build one [`Gateway`] an instance and feed [`Gateway::handle`] all that happened at one moment, a
-//! `Start` first; it returns what is to be done, in order. Events and actions are in [`crate::interface`].
+//! [`Gateway::handle`] takes what happened at one moment, a `Start` first, and returns what is to be done.
 //!
 //! The ordinary path is Argon's: at each store one volume at a time holds a turn of a count and a quantum,
 //! the next goes to the smallest tag, a cap bounds the units out. Departures are explained in docs/design.md.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash};
+use std::ops::Bound::{Excluded, Unbounded};
 use std::time::Duration;
 
 use crate::interface::{
@@ -108,7 +107,6 @@
     }
 }
 
-/// A volume at a store.
 #[derive(Default)]
 struct Share {
     held: Vec<OpId>,
@@ -118,7 +116,6 @@
     tag: f64,
     latency: f64,
     seen: Duration,
-    /// When its store, if cold, may be sent the volume's next op.
     paced_to: Duration,
 }
 
@@ -152,13 +149,14 @@
     overtaken_to: Duration,
     /// Until then connections to it are taken to hang: an answer never came while later ones did.
     loses_to: Duration,
-    /// When it was last sent an op, and when this gateway last heard that it is back.
+    /// When it was last sent an op, and when this gateway heard that it is back, and that it drains.
     sent_at: Duration,
     back_at: Duration,
-    /// When this gateway heard that it drains.
     drains_at: Option<Duration>,
     /// It may not answer, or is just back: until it does, ops go one at a time, no sooner than this.
     doubt: Option<Duration>,
+    /// So many sweeps count as having looked at it.
+    swept: u64,
 }
 
 impl Store {
@@ -171,28 +169,40 @@
     fn patience(&self) -> Duration {
         self.shortest.mul_f64(SILENCE.0).max(Duration::from_secs_f64(self.latency * SILENCE.1))
     }
-    /// Departure: one long overdue that later ones overtook hangs by its connection, not its store; so may
-    /// any at a store that loses answers. It must not hold up the rotation or fill the cap.
+    /// Departure: one overdue hangs if later ones overtook it or its store loses answers; it holds up none.
     fn hangs(&self, sent: Duration, now: Duration) -> bool {
         (sent < self.overtaken_to || now < self.loses_to) && sent + self.patience() < now
     }
     fn count_out(&mut self, now: Duration) {
         self.units_out = self.out.values().filter(|(sent, _)| !self.hangs(*sent, now)).map(|(_, u)| u).sum();
     }
+    /// What sweeps up to the one at `now` do. With nothing held or out there, many later at once do the same.
+    fn catch_up(&mut self, (sweeps, now): (u64, Duration), rules: &Rules) {
+        let missed = sweeps - std::mem::replace(&mut self.swept, sweeps);
+        if missed == 0 {
+            return;
+        }
+        self.spent.retain(|(at, _)| *at + 2 * rules["rules.fall_time"].1 >= now);
+        self.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
+        self.count_out(now);
+        // Departure: an average that no answer renews fades, or what it keeps away would never show its end.
+        let (seed, fade) = (self.shortest.as_secs_f64() * SEED, SWEEP / rules["gateways"].0.max(1.0));
+        let faded = |from: &f64| Some(from + (seed - from) * fade).filter(|to| to != from);
+        let times = if self.out.is_empty() { missed as usize } else { 0 };
+        self.latency =
+            std::iter::successors(Some(self.latency), faded).take(times + 1).last().unwrap_or(seed);
+    }
 }
 
-/// The ops of one key in the order they were taken.
 #[derive(Default)]
 struct Line {
     ops: VecDeque<OpId>,
     rest_until: Duration,
 }
 
-/// What this gateway knows of a volume at all stores together.
 #[derive(Default)]
 struct Volume {
-    /// Rule 7: what is left of this gateway's part of the plan's limit. It starts empty, since an earlier run
-    /// may have drawn it down, and fills at the limit's rate over the volume's gateways.
+    /// Rule 7: what is left of the gateway's part of the limit. It starts empty: it may be drawn down.
     allowance: f64,
     /// What stays undrawn, and until when, by the last two promises: a crash may come before one is kept.
     floors: [(f64, Duration); 2],
@@ -205,8 +215,7 @@
 }
 
 impl Volume {
-    /// Brings it up to now: its part of the limit fills at what was in force at each time, and what is known
-    /// of its rate fades within a second, the span that a plan's dues are counted in.
+    /// Its part of the limit fills at what was in force at each time, its rate fades within a second.
     fn advance(&mut self, plan: &Plan, now: Duration) {
         let gateways = self.gateways.max(1.0);
         let (mut at, present) = (self.at, (now, plan.limit, plan.limit_burst));
@@ -222,7 +231,6 @@
         self.at = now;
     }
 
-    /// What may be drawn of the allowance now.
     fn free(&self, now: Duration) -> f64 {
         let floors = self.floors.iter().filter(|(_, until)| now < *until).map(|(floor, _)| *floor);
         self.allowance - floors.fold(0.0, f64::max)
@@ -239,7 +247,7 @@
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         for event in events {
             if let Event::Start { seed, settings } = event {
-                match Running::start(now, seed, settings) {
+                match Running::start(now, seed, &settings) {
                     Ok(running) => self.running = Some(running),
                     Err(name) => return vec![Action::Fatal(format!("{name} is missing or unreadable"))],
                 }
@@ -259,7 +267,7 @@
     started: Duration,
     seed: u64,
     draws: u64,
-    settings: Settings,
+    rules: Rules,
     op_types: Vec<OpType>,
     plans: Vec<Plan>,
     mean_units: f64,
@@ -267,6 +275,15 @@
     shortest: Duration,
     ops: BTreeMap<OpId, Taken>,
     stores: BTreeMap<StoreId, Store>,
+    /// Stores by their shards; those where ops are held; and those that each sweep looks at: gone, or with
+    /// ops held or out since the last. The others are caught up with before they are used.
+    shards: BTreeSet<(u32, StoreId)>,
+    holding: BTreeSet<StoreId>,
+    awake: BTreeSet<StoreId>,
+    /// How many sweeps there were, and when the last began. The next has come to a store in the order of ids.
+    swept: (u64, Duration),
+    swept_to: Option<StoreId>,
+    caught_up: Option<StoreId>,
     lines: BTreeMap<u64, Line>,
     volumes: BTreeMap<VolumeId, Volume>,
     /// When ops were taken and further dispatches made, within the budget's span.
@@ -298,9 +315,10 @@
     if settings.contains_key(name) { read(settings, name) } else { Ok(T::default()) }
 }
 
-/// Figures that are read as they are needed, those that must be there and those that may be absent.
+/// The other figures, as numbers and as spans: those that must be there, and those that may be absent.
+type Rules = BTreeMap<&'static str, (f64, Duration)>;
 const NEEDED: &str = "gateways tick rules.cold_time rules.fall_time";
-const READ_LATER: &str = "limits.max_dispatches limits.max_retry_after rules.ask_within rules.cold_from \
+const OTHERS: &str = "limits.max_dispatches limits.max_retry_after rules.ask_within rules.cold_from \
     rules.drain_grace rules.fall_multiple rules.further_free rules.further_share rules.further_span \
     rules.order_pause stores.cold_units";
 
@@ -309,7 +327,7 @@
 }
 
 /// The op types and plans that settings name, once all that rules are kept by can be read.
-fn figures(s: &Settings) -> Result<(Vec<OpType>, Vec<Plan>), String> {
+fn figures(s: &Settings) -> Result<(Vec<OpType>, Vec<Plan>, Rules), String> {
     let word = |name: &str| s.get(name).map(String::as_str);
     if !matches!(word("discovery"), None | Some("pushed" | "asked")) {
         return Err("discovery".into());
@@ -353,8 +371,9 @@
             due: stated(s, &name("reserve"), number)?,
         });
     }
-    READ_LATER.split_whitespace().try_for_each(|name| stated(s, name, span).map(drop))?;
-    NEEDED.split_whitespace().try_for_each(|name| span(s, name).map(drop))?;
+    let read = |name: &'static str| Ok((name, (number(s, name)?, span(s, name)?)));
+    let others = OTHERS.split_whitespace().filter(|name| s.contains_key(*name));
+    let rules = others.chain(NEEDED.split_whitespace()).map(read).collect::<Result<_, String>>()?;
     let best = op_types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
     op_types.iter_mut().for_each(|op_type| op_type.utility /= best);
     let of_all = |of: &dyn Fn(&Plan) -> f64| {
@@ -366,13 +385,12 @@
         plan.weight /= mean_weight;
         plan.due += plan.weight * spare;
     }
-    Ok((op_types, plans))
+    Ok((op_types, plans, rules))
 }
 
 impl Running {
-    fn start(now: Duration, seed: u64, settings: Settings) -> Result<Running, String> {
-        let s = &settings;
-        let (op_types, plans) = figures(s)?;
+    fn start(now: Duration, seed: u64, s: &Settings) -> Result<Running, String> {
+        let (op_types, plans, rules) = figures(s)?;
         let shortest = op_types.iter().map(|t| t.target).min().ok_or("op_types.count")?;
         let mut running = Running {
             now,
@@ -384,7 +402,7 @@
             plans,
             shortest,
             subscribe_at: s.get("discovery").is_some_and(|word| word == "asked").then_some(now),
-            settings,
+            rules,
             ..Running::default()
         };
         running.sweep();
@@ -392,11 +410,11 @@
     }
 
     fn setting(&self, name: &str, otherwise: f64) -> f64 {
-        number(&self.settings, name).unwrap_or(otherwise)
+        self.rules.get(name).map_or(otherwise, |(number, _)| *number)
     }
 
     fn setting_span(&self, name: &str) -> Duration {
-        span(&self.settings, name).unwrap_or_default()
+        self.rules.get(name).map_or(Duration::ZERO, |(_, span)| *span)
     }
 
     fn op_type(&self, taken: &Taken) -> &OpType {
@@ -413,6 +431,9 @@
         if now > self.now {
             (self.stalled, self.now) = (now > self.sweep_at + self.shortest.mul_f64(SWEEP), now);
         }
+        if matches!(event, Event::Changed { .. } | Event::Remember { .. } | Event::Recalled { .. }) {
+            self.stores.values_mut().for_each(|store| store.catch_up(self.swept, &self.rules));
+        }
         match event {
             Event::List(news) => self.listed(news),
             Event::Arrived(op) => self.arrived(op),
@@ -437,27 +458,36 @@
         }
     }
 
-    // The list of stores.
-
     fn listed(&mut self, news: ListNews) {
         let (whole, listings) = match news {
             ListNews::Failed => {
                 // Ask again, later each time and not in step with others: the list serves few calls at once.
                 self.list_failures += 1;
                 let wait = self.setting_span("rules.ask_within") / 2u32.pow(5 - self.list_failures.min(4));
-                self.subscribe_at = Some(self.now + wait.mul_f64(1.0 + self.chance()));
-                return;
+                return self.subscribe_at = Some(self.now + wait.mul_f64(1.0 + self.chance()));
             }
             ListNews::Changes(listings) => (false, listings),
             ListNews::Full(listings) | ListNews::Cached(listings) => (true, listings),
         };
         self.list_failures = 0;
-        let named = |id: &StoreId| listings.iter().any(|listing| listing.store == *id);
-        let unnamed = self.stores.iter_mut().filter(|(id, _)| whole && !named(id));
-        unnamed.for_each(|(_, store)| store.listing.state = StoreState::Gone);
+        if whole {
+            let named: BTreeSet<StoreId> = listings.iter().map(|listing| listing.store).collect();
+            let unnamed: Vec<_> = self.stores.keys().filter(|id| !named.contains(id)).copied().collect();
+            unnamed.into_iter().for_each(|id| self.wake(id).listing.state = StoreState::Gone);
+        }
         listings.into_iter().for_each(|listing| self.listed_one(listing));
     }
 
+    /// A store at which something is at work from now on, as sweeps up to now would have left it.
+    fn wake(&mut self, id: StoreId) -> &mut Store {
+        let (sweeps, at) = self.swept;
+        let swept = if Some(id) <= self.swept_to { (sweeps + 1, self.now) } else { (sweeps, at) };
+        self.awake.insert(id);
+        let store = self.stores.get_mut(&id).expect("a listed store is known");
+        store.catch_up(swept, &self.rules);
+        store
+    }
+
     fn listed_one(&mut self, listing: Listing) {
         let known = self.stores.get(&listing.store);
         let news = known.is_none_or(|known| known.listing.started != listing.started || !known.ready());
@@ -465,20 +495,19 @@
         let drains = known.is_some_and(Store::ready) && listing.state == StoreState::Draining;
         let cold = self.warmth(&listing).map_or(SWEEP, |warmth| (1.0 - warmth).max(SWEEP));
         let open_at = self.now + self.setting_span("rules.fall_time").mul_f64(cold * self.chance());
-        let (now, shortest, cap) = (self.now, self.shortest, FIRST_CAP * self.mean_units);
-        let latency = shortest.as_secs_f64() * SEED;
-        let new = || Store { cap, latency, shortest, overtaken_to: now, ..Store::default() };
+        let (now, shortest, swept) = (self.now, self.shortest, self.swept.0);
+        let (latency, cap) = (shortest.as_secs_f64() * SEED, FIRST_CAP * self.mean_units);
+        let new = || Store { cap, latency, shortest, overtaken_to: now, swept, ..Store::default() };
         let store = self.stores.entry(listing.store).or_insert_with(new);
+        self.shards.remove(&(store.listing.shard, listing.store));
+        self.shards.insert((listing.shard, listing.store));
+        let store = self.wake(listing.store);
         store.drains_at = if drains { Some(now) } else { store.drains_at };
         // A store just back meets all gateways at once: a random wait, longer for a colder one, spreads them.
-        if back {
-            (store.back_at, store.doubt) = (now, Some(open_at));
-        }
+        (store.back_at, store.doubt) = if back { (now, Some(open_at)) } else { (store.back_at, store.doubt) };
         store.listing = listing;
     }
 
-    // What outlives this gateway.
-
     /// Tells what is known. The floors bind from now on, or a crash in a moment would make them untrue.
     fn remember(&mut self, promised: Duration) {
         let until = self.now + promised.mul_f64(LONGER);
@@ -496,8 +525,7 @@
         self.actions.push(Action::Known { stores, volumes });
     }
 
-    /// Believes what an earlier run knew, the less the older it is. Rule 7: of a limit, only what that run
-    /// had promised not to draw, and only if that still held when this one began; else the part starts empty.
+    /// Believes an earlier run the less the older it is. Rule 7: of a limit only what it promised to keep.
     fn recall(&mut self, age: Option<Duration>, kept: Duration, of: (Vec<StoreMemory>, Vec<VolumeMemory>)) {
         let Some(age) = age else { return };
         let (trust, past) = ((-age.as_secs_f64() / IDLE.as_secs_f64()).exp(), age.as_secs_f64());
@@ -520,12 +548,9 @@
         }
     }
 
-    // What changes in service.
-
-    /// New figures hold from now on; settings that lack what was there are not taken. What was served keeps
-    /// its price: tags stay, as they count it at the weight of its time. Limits fill up to now as they were.
+    /// New figures hold from now on: tags stay as they are, limits fill up to now as they were.
     fn changed(&mut self, settings: Settings) {
-        let (mut op_types, mut plans) = match figures(&settings) {
+        let (mut op_types, mut plans, rules) = match figures(&settings) {
             Ok(read) if read.0.len() >= self.op_types.len() && read.1.len() >= self.plans.len() => read,
             read => {
                 let name = read.err().unwrap_or("op_types.count or plans.count".into());
@@ -544,25 +569,21 @@
                 (next.1, next.2) = (next.1.min(limit), next.2.min(burst));
             }
         }
-        (self.op_types, self.plans, self.settings) = (op_types, plans, settings);
+        (self.op_types, self.plans, self.rules) = (op_types, plans, rules);
     }
 
-    /// Danger: a volume that is new may have been there before under its name, so its part starts empty. Ops
-    /// held go by the new plan, or a first limit would let by what came before it.
+    /// Danger: what is new may have been there before, so its part starts empty; held ops go by the new plan.
     fn moved(&mut self, volume: VolumeId, plan: usize, gateways: f64) {
-        if plan >= self.plans.len() {
-            return;
-        }
+        let Some(_) = self.plans.get(plan) else { return };
         self.volumes.entry(volume).or_insert(Volume { at: self.now, ..Volume::default() });
         self.belongs(volume, plan, gateways);
-        let shares = self.stores.values().filter_map(|store| store.volumes.get(&volume));
+        let shares = self.holding.iter().filter_map(|id| self.stores.get(id)?.volumes.get(&volume));
         for id in shares.flat_map(|share| &share.held) {
             let op = &mut self.ops.get_mut(id).expect("a held op is known").op;
             (op.plan, op.gateways) = (plan, gateways);
         }
     }
 
-    /// The volume is of this plan from now on, and was of its last until now.
     fn belongs(&mut self, id: VolumeId, plan: usize, gateways: f64) {
         let volume = self.volumes.entry(id).or_insert(Volume { at: self.started, ..Volume::default() });
         if let Some(last) = volume.plan {
@@ -572,19 +593,15 @@
         volume.advance(&self.plans[plan], self.now);
     }
 
-    // Ops coming in and going out.
-
     fn arrived(&mut self, op: Op) {
         // The final answer must be in before the client's own time is up; a sweep may come this much late.
         let margin = self.shortest.mul_f64(SWEEP) + 3 * self.setting_span("tick");
         let (Some(op_type), Some(_)) = (self.op_types.get_mut(op.op_type), self.plans.get(op.plan)) else {
-            self.actions.push(Action::Abort { op: op.id });
-            return;
+            return self.actions.push(Action::Abort { op: op.id });
         };
         self.taken.push_back(self.now);
         self.least_units = self.least_units.min(op.units);
-        // What a client has waited through earlier tries shows against the longest left on any of its type.
-        // Danger: kept for good, or past the op timeout, one patient client would make all others' ops late.
+        // Earlier tries show against the longest left. Danger: kept, one patient client made all others late.
         let old = op_type.longest_left;
         let renews = op.left >= old.0 || old.1 + IDLE < self.now;
         op_type.longest_left = if renews { (op.left, self.now) } else { old };
@@ -598,9 +615,8 @@
             op,
         };
         let id = taken.op.id;
-        if let Some(key) = taken.op.key.filter(|_| op_type.in_order) {
-            self.lines.entry(key).or_default().ops.push_back(id);
-        }
+        let key = taken.op.key.filter(|_| op_type.in_order);
+        _ = key.map(|key| self.lines.entry(key).or_default().ops.push_back(id));
         self.belongs(taken.op.volume, taken.op.plan, taken.op.gateways);
         // A client's last try may come with too little time left even to be looked at by the next sweep.
         let hopeless = taken.end_at <= self.now;
@@ -608,7 +624,6 @@
         if hopeless { self.settle(id) } else { self.hold(id) }
     }
 
-    /// Holds an op at the store that is to have it, or moves it there.
     fn hold(&mut self, id: OpId) {
         let to = self.home(&self.ops[&id]);
         let taken = self.ops.get_mut(&id).expect("a held op is known");
@@ -619,12 +634,13 @@
         _ = taken.held_at.take().map(|from| self.unhold(id, from, volume));
         let Some(to) = to else { return self.settle(id) };
         self.ops.get_mut(&id).expect("a held op is known").held_at = Some(to);
+        self.holding.insert(to);
+        self.wake(to).held += 1;
         let store = self.stores.get_mut(&to).expect("a home is known");
         // With none active the greatest tag: behind what was served alone, a volume would wait for as much.
         let tags = |active: bool| store.volumes.values().filter(move |s| s.active() == active).map(|s| s.tag);
         let floor = tags(true).reduce(f64::min).or(tags(false).reduce(f64::max)).unwrap_or(0.0);
         let newcomer = Share { tag: floor, latency: target.as_secs_f64() * SEED, ..Share::default() };
-        store.held += 1;
         let share = store.volumes.entry(volume).or_insert(newcomer);
         (share.tag, share.seen) = (share.tag.max(floor), self.now);
         let order = |id: &OpId| (-self.op_types[self.ops[id].op.op_type].utility, *id);
@@ -642,26 +658,26 @@
         }
     }
 
-    /// The first store in rank that has not enough, of those with the op's shard or of all for a new object:
-    /// that one's ranking is the volume's, by hashing; of two with one shard the older one is first.
+    /// The first in rank that has not enough: by age within a shard, by the volume's hash for a new object.
     fn home(&self, taken: &Taken) -> Option<StoreId> {
-        let of_shard = |store: &Store| taken.op.shard.is_none_or(|shard| store.listing.shard == shard);
+        let shard = taken.op.shard;
+        let of_shard = shard.map(|shard| (shard, StoreId(0))..=(shard, StoreId(u32::MAX)));
         let of_volume = |store: &Store| hashed((taken.op.volume_name, store.listing.shard));
-        let rank = |s: &Store| taken.op.shard.map_or((None, of_volume(s)), |_| (s.listing.started, 0));
+        let rank = |s: &Store| shard.map_or((None, of_volume(s)), |_| (s.listing.started, 0));
         let rounds = |store: &Store| {
             if store.doubt.is_some() || self.warmth(&store.listing).is_some() {
                 return u64::MAX;
             }
             let load = (store.units_out + store.held as f64 * self.mean_units) / store.cap;
-            // With a cap out and held it has enough; if all have, the least laden takes it.
             if load < 1.0 { 0 } else { (load / QUANTUM) as u64 }
         };
-        let stores = || self.stores.iter().filter(|(_, store)| of_shard(store));
+        let ids = || of_shard.iter().flat_map(|range| self.shards.range(range.clone()));
+        let all = || shard.is_none().then_some(&self.stores).into_iter().flatten();
+        let stores = || ids().map(|(_, id)| (id, &self.stores[id])).chain(all());
         let ready = stores().filter(|(id, store)| store.ready() && self.may_resend(taken, **id));
         let best = ready.min_by_key(|(_, store)| (rounds(store), rank(store)));
-        // With none ready, an op on existing data waits for a successor.
         let newest = || stores().max_by_key(|(_, store)| store.listing.started);
-        best.or_else(|| newest().filter(|_| taken.op.shard.is_some())).map(|(id, _)| *id)
+        best.or_else(|| newest().filter(|_| shard.is_some())).map(|(id, _)| *id)
     }
 
     /// Rule 2: no effect twice, and no two dispatches at once where they are not allowed.
@@ -685,11 +701,10 @@
         (taken.dispatches.len() as f64) < 1.0 + ((most - 1.0) * self.op_type(taken).utility).round()
     }
 
-    /// Rule 6: the budget of further dispatches within its span.
+    /// Rule 6. In order of time: to look through all for each held op would cost more the more came.
     fn budget_left(&self) -> bool {
-        let Ok(share) = number(&self.settings, "rules.further_share") else { return true };
+        let Some((share, _)) = self.rules.get("rules.further_share") else { return true };
         let since = self.now.saturating_sub(self.setting_span("rules.further_span"));
-        // In order of time: to look through them all for each held op would cost more the more came.
         let taken = (self.taken.len() - self.taken.partition_point(|at| *at <= since)) as f64;
         let further = (self.further.len() - self.further.partition_point(|at| *at < since)) as f64;
         further + 1.0 <= self.setting("rules.further_free", 0.0) + share * taken
@@ -709,9 +724,8 @@
         (age < whole).then(|| from + (1.0 - from) * age / whole)
     }
 
-    /// Rule 4: a cold store gets an even part for each gateway of what it always bears, and nothing within a
-    /// span of this gateway's start, as what an earlier run sent counts. Departure: where many gateways leave
-    /// less than an op each, a volume's ops also go spaced by `pace`, the first at a random time within it.
+    /// Rule 4: a gateway's even part of what a cold store bears, nothing within a span of the start, as an
+    /// earlier run's ops count. Departure: a volume's ops also go spaced by `pace`, the first at random.
     fn bears(&self, store: &Store, op: &Op, warmth: f64) -> bool {
         let window = self.setting_span("rules.fall_time");
         let recent = store.spent.iter().filter(|(at, _)| *at + window >= self.now);
@@ -727,8 +741,7 @@
         self.now >= self.started + window && op.units + spent <= even.max(paced)
     }
 
-    /// How long a volume waits after an op like this to a cold store: its gateways together send the plan's
-    /// rate times warmth and a part of the rule's multiple. The rest is for chance and slower stores.
+    /// How long a volume waits after such an op to a cold store: its gateways together go by the plan's rate.
     fn pace(&self, op: &Op, warmth: f64) -> Option<Duration> {
         let part = self.setting("rules.fall_multiple", 0.0) * COLD_PART * warmth;
         let wait = op.units * op.gateways.max(1.0) / (self.plans[op.plan].rate * part);
@@ -743,18 +756,15 @@
         line.ops.front() == Some(&taken.op.id) && rested
     }
 
-    /// It would be answered late. A store's latency counts for half the target latency at most: a slow spell
-    /// must not make every fresh op late on arrival, or nothing would show its end.
+    /// Answered late. Danger: counted for more than half, a slow spell made all late and had no end.
     fn late(&self, taken: &Taken, store: &Store) -> bool {
         let expected = Duration::from_secs_f64(store.latency).min(self.op_type(taken).target / 2);
         self.now + expected > taken.target_at
     }
 
-    // Turns.
-
     fn pump(&mut self) {
-        let holding = self.stores.iter().filter(|(_, store)| store.held > 0);
-        let holding: Vec<StoreId> = holding.map(|(id, _)| *id).collect();
+        self.holding.retain(|id| self.stores.get(id).is_some_and(|store| store.held > 0));
+        let holding: Vec<StoreId> = self.holding.iter().copied().collect();
         for id in holding {
             while let Some(op) = self.next(id) {
                 self.dispatch(op, id);
@@ -782,8 +792,7 @@
         run.or_else(|| able().find(|(id, _)| may_go(id))).map(|(id, _)| *id)
     }
 
-    /// Departure: an op goes only into as much of the cap as its utility is of the best, and as its volume's
-    /// due is of its rate, so that gateways yield to volumes with more due that they cannot see.
+    /// Departure: an op has as much of the cap as its utility is of the best and its volume's due of its rate.
     fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
         let volume = &self.volumes[&taken.op.volume];
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
@@ -792,11 +801,9 @@
         part >= 1.0 || store.units_out == 0.0 && calm || store.units_out + taken.op.units <= store.cap * part
     }
 
-    /// The next op to send to a store, if one may go now.
     fn next(&mut self, id: StoreId) -> Option<OpId> {
         let store = &self.stores[&id];
         let (out, cap) = (store.units_out, store.cap);
-        // Where not even the least op fits there is nothing to look for.
         let full = out > 0.0 && out + self.least_units > cap;
         if full || !self.usable(store) || store.doubt.is_some_and(|trial_at| self.now < trial_at) {
             return None;
@@ -810,7 +817,6 @@
             if *count >= 1.0 && self.now < *ends {
                 return fits(&op).then_some(op);
             }
-            // Departure: a hung store must not freeze the rotation until a time-out.
             let mut out = store.out.iter().filter(|((op, _), _)| self.ops[op].op.volume == *volume);
             if store.doubt.is_none() && out.any(|(_, (sent, _))| !store.hangs(*sent, self.now)) {
                 return None;
@@ -855,8 +861,6 @@
         self.actions.push(Action::Dispatch { op: id, store: to, timeout });
     }
 
-    // Answers.
-
     fn answered(&mut self, answer: &Answer) {
         let (now, mean, shortest) = (self.now, self.mean_units, self.shortest);
         let pause = self.setting_span("rules.order_pause");
@@ -869,13 +873,11 @@
         };
         let (place, at) = (dispatch.store, dispatch.at);
         let (volume, key, plan) = (taken.op.volume, taken.op.key, taken.op.plan);
-        // Departure: a heavy op's answer counts as an average op's, or it would shrink the next counts.
         let latency = answer.latency.as_secs_f64() / (taken.op.units / mean).max(1.0);
         use Outcome::{Cancelled, Reset, TimedOut, Unknown};
         let unsure = matches!(answer.outcome, TimedOut | Reset | Cancelled | Unknown);
-        if let Some(line) = key.filter(|_| unsure).and_then(|key| self.lines.get_mut(&key)) {
-            line.rest_until = now + pause;
-        }
+        let line = key.filter(|_| unsure).and_then(|key| self.lines.get_mut(&key));
+        _ = line.map(|line| line.rest_until = now + pause);
         if let Some(known) = self.volumes.get_mut(&volume) {
             known.rate += answer.elsewhere;
             known.told = answer.used.map_or(known.told, |used| known.told.max(used * self.plans[plan].rate));
@@ -885,13 +887,11 @@
             store.count_out(now);
             if let Some(share) = store.volumes.get_mut(&volume) {
                 (share.out, share.seen) = (share.out.saturating_sub(1), now);
-                // Service told as given through other gateways counts like service from here.
                 share.tag += answer.elsewhere / self.plans[plan].weight;
                 if answer.outcome == Outcome::Acked && !self.stalled {
                     share.latency += SMOOTHING * (latency - share.latency);
                 }
             }
-            // An answer weighs more where they are few, or the average would lag by seconds.
             let lost = answer.outcome == Outcome::TimedOut && at < store.overtaken_to;
             store.loses_to = if lost { now + IDLE } else { store.loses_to };
             let gap = at.saturating_sub(store.overtaken_to).as_secs_f64() / shortest.as_secs_f64();
@@ -905,7 +905,6 @@
                 _ => store.doubt = store.doubt.or(Some(now + shortest.mul_f64(SILENCE.0))),
             }
             if answer.outcome == Outcome::Acked && !self.stalled {
-                // Other gateways fill the same queue: the cap follows the latency that answers show.
                 store.latency += smoothing * (latency - store.latency);
                 let (goal, full) = (store.goal(), store.units_out + 2.0 * mean > store.cap);
                 let step = if full { mean * self.plans[plan].weight } else { 0.0 };
@@ -916,7 +915,6 @@
                     store.cap /= QUANTUM;
                 }
             }
-            // Departure: answers too late for any op type tell of a store that all together send too much.
             let late = store.latency > LATE * shortest.as_secs_f64();
             if answer.outcome == Outcome::Full || late && store.overtaken_to <= at && !self.stalled {
                 store.cap = (store.cap / 2.0).max(mean * LEAST_CAP);
@@ -930,14 +928,11 @@
         if again { self.hold(answer.op) } else { self.settle(answer.op) }
     }
 
-    /// The op has ended: nothing more is sent for it. It is forgotten when nothing of it is out.
     fn part(&mut self, id: OpId) {
         let Some(taken) = self.ops.get_mut(&id) else { return };
         taken.ended = true;
         let (out, key, volume) = (taken.out(), taken.op.key, taken.op.volume);
-        if let Some(store) = taken.held_at.take() {
-            self.unhold(id, store, volume);
-        }
+        _ = taken.held_at.take().map(|store| self.unhold(id, store, volume));
         if !out {
             self.ops.remove(&id);
             if let Some(line) = key.and_then(|key| self.lines.get_mut(&key)) {
@@ -946,7 +941,6 @@
         }
     }
 
-    /// The final answer to an op that this gateway gives up.
     fn settle(&mut self, id: OpId) {
         let taken = &self.ops[&id];
         let op_type = self.op_type(taken);
@@ -958,23 +952,30 @@
         self.part(id);
     }
 
-    // What only time changes.
-
     fn sweep(&mut self) {
         let now = self.now;
         self.sweep_at = now + self.shortest.mul_f64(SWEEP);
         self.actions.push(Action::Timer { token: 0, at: self.sweep_at });
-        if self.subscribe_at.take_if(|at| now >= *at).is_some() {
-            self.actions.push(Action::Subscribe);
-        }
+        self.actions.extend(self.subscribe_at.take_if(|at| now >= *at).map(|_| Action::Subscribe));
         let due = |taken: &Taken| !taken.ended && now >= taken.end_at;
         let over: Vec<OpId> = self.ops.iter().filter(|(_, t)| due(t)).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|id| self.settle(id));
         // A store that is gone is dropped once nothing of it counts, not even against its next start.
-        let of_use = |s: &Store| s.held > 0 || !s.out.is_empty() || !s.spent.is_empty();
-        self.stores.retain(|_, store| store.listing.state != StoreState::Gone || of_use(store));
-        let ids: Vec<StoreId> = self.stores.keys().copied().collect();
-        ids.into_iter().for_each(|id| self.sweep_store(id));
+        let at_work = |s: &Store| s.held > 0 || !s.out.is_empty();
+        let over = |s: &Store| s.listing.state == StoreState::Gone && !at_work(s) && s.spent.is_empty();
+        if self.awake.iter().any(|id| over(&self.stores[id])) {
+            self.stores.retain(|_, store| !over(store));
+            self.shards.retain(|(_, id)| self.stores.contains_key(id));
+        }
+        let stays = |s: &Store| at_work(s) || s.listing.state == StoreState::Gone;
+        self.awake.retain(|id| self.stores.get(id).is_some_and(stays));
+        while let Some(id) = self.awake.range((self.swept_to.map_or(Unbounded, Excluded), Unbounded)).next() {
+            self.sweep_store(*id);
+        }
+        (self.swept, self.swept_to) = ((self.swept.0 + 1, now), None);
+        // One of the others a sweep, in turn: none keeps for long what is over, or has long to be caught up.
+        let next = self.stores.range_mut((self.caught_up.map_or(Unbounded, Excluded), Unbounded)).next();
+        self.caught_up = next.map(|(id, store)| (*id, store.catch_up(self.swept, &self.rules)).0);
         let kept = 2 * self.setting_span("rules.further_span");
         for times in [&mut self.taken, &mut self.further] {
             while times.pop_front_if(|at| *at + kept < now).is_some() {}
@@ -983,18 +984,11 @@
     }
 
     fn sweep_store(&mut self, id: StoreId) {
-        let (now, window) = (self.now, self.setting_span("rules.fall_time"));
-        let fade = SWEEP / self.setting("gateways", 1.0).max(1.0);
-        let store = self.stores.get_mut(&id).expect("a listed store is known");
-        store.spent.retain(|(at, _)| *at + 2 * window >= now);
-        store.volumes.retain(|_, share| share.active() || share.seen + IDLE > now);
-        store.count_out(now);
-        // Departure: an average that no answer renews fades, or what it keeps away would never show its end.
-        if store.out.is_empty() {
-            store.latency += (store.shortest.as_secs_f64() * SEED - store.latency) * fade;
-        }
+        let (now, stalled) = (self.now, self.stalled);
+        self.swept_to = Some(id);
+        let store = self.wake(id);
         let wait = store.patience();
-        if !self.stalled && store.out.values().any(|(at, _)| (*at).max(store.overtaken_to) + wait < now) {
+        if !stalled && store.out.values().any(|(at, _)| (*at).max(store.overtaken_to) + wait < now) {
             store.doubt = store.doubt.or(Some(now));
         }
         // Another store may do, or a successor: a drain that is not yet told looks like doubt.
