--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -97,8 +97,9 @@
 
     /// Those that a whole list no longer names are gone.
     pub fn unnamed(&mut self, now: Duration, named: &[Listing]) {
+        let named: BTreeSet<StoreId> = named.iter().map(|listing| listing.store).collect();
         for (id, member) in &mut self.all {
-            if !named.iter().any(|listing| listing.store == *id) {
+            if !named.contains(id) {
                 member.state = StoreState::Gone;
                 member.gone_at = member.gone_at.or(Some(now));
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -259,6 +259,11 @@
         running.pump();
         std::mem::take(&mut running.actions)
     }
+
+    /// How many stores something was at work at since the last sweep: what the next one may look at.
+    pub fn at_work(&self) -> usize {
+        self.running.as_ref().map_or(0, |running| running.awake.len())
+    }
 }
 
 #[derive(Default)]
@@ -440,7 +445,6 @@
             Event::StreamBegan { op } => _ = self.ops.get_mut(&op).map(|taken| taken.end_at = Duration::MAX),
             Event::Answered(answer) => self.answered(&answer),
             Event::ClientLeft { op } => self.part(op),
-            // From now on it is bound to that shard, its further dispatches too.
             Event::Placed { op, shard } => _ = self.ops.get_mut(&op).map(|t| t.op.shard = Some(shard)),
             Event::Changed { settings } => self.changed(settings),
             Event::Moved { volume, plan, gateways } => self.moved(volume, plan, gateways),
@@ -548,7 +552,6 @@
         }
     }
 
-    /// New figures hold from now on: tags stay as they are, limits fill up to now as they were.
     fn changed(&mut self, settings: Settings) {
         let (mut op_types, mut plans, rules) = match figures(&settings) {
             Ok(read) if read.0.len() >= self.op_types.len() && read.1.len() >= self.plans.len() => read,
@@ -577,7 +580,7 @@
         let Some(_) = self.plans.get(plan) else { return };
         self.volumes.entry(volume).or_insert(Volume { at: self.now, ..Volume::default() });
         self.belongs(volume, plan, gateways);
-        let shares = self.holding.iter().filter_map(|id| self.stores.get(id)?.volumes.get(&volume));
+        let shares = self.holding.iter().filter_map(|id| self.stores[id].volumes.get(&volume));
         for id in shares.flat_map(|share| &share.held) {
             let op = &mut self.ops.get_mut(id).expect("a held op is known").op;
             (op.plan, op.gateways) = (plan, gateways);
@@ -618,7 +621,6 @@
         let key = taken.op.key.filter(|_| op_type.in_order);
         _ = key.map(|key| self.lines.entry(key).or_default().ops.push_back(id));
         self.belongs(taken.op.volume, taken.op.plan, taken.op.gateways);
-        // A client's last try may come with too little time left even to be looked at by the next sweep.
         let hopeless = taken.end_at <= self.now;
         self.ops.insert(id, taken);
         if hopeless { self.settle(id) } else { self.hold(id) }
@@ -650,9 +652,10 @@
     }
 
     fn unhold(&mut self, id: OpId, store: StoreId, volume: VolumeId) {
-        let Some(store) = self.stores.get_mut(&store) else { return };
-        store.held -= 1;
-        if let Some(share) = store.volumes.get_mut(&volume) {
+        let Some(place) = self.stores.get_mut(&store) else { return };
+        place.held -= 1;
+        _ = (place.held == 0).then(|| self.holding.remove(&store));
+        if let Some(share) = place.volumes.get_mut(&volume) {
             share.held.retain(|op| *op != id);
             share.ranked.retain(|(op, _)| *op != id);
         }
@@ -763,7 +766,6 @@
     }
 
     fn pump(&mut self) {
-        self.holding.retain(|id| self.stores.get(id).is_some_and(|store| store.held > 0));
         let holding: Vec<StoreId> = self.holding.iter().copied().collect();
         for id in holding {
             while let Some(op) = self.next(id) {
@@ -772,7 +774,6 @@
         }
     }
 
-    /// A volume's next op: one that continues the run on a key, else of most utility, else the first taken.
     fn pick(&self, store: StoreId, volume: VolumeId) -> Option<OpId> {
         let place = &self.stores[&store];
         let (warmth, left) = (self.warmth(&place.listing), self.volumes[&volume].free(self.now));
