--- a/src/choice.rs
+++ b/src/choice.rs
@@ -793,7 +793,7 @@
         run.or_else(|| able().find(|(id, _)| may_go(id))).map(|(id, _)| *id)
     }
 
-    /// Departure: an op has as much of the cap as its utility is of the best and its volume's due of its rate.
+    /// Departure: it has as much of the cap as its utility is of the best and its volume's due of the rate.
     fn leaves_room(&self, store: &Store, taken: &Taken) -> bool {
         let volume = &self.volumes[&taken.op.volume];
         let due = (self.plans[taken.op.plan].due / volume.rate.max(volume.told)).min(1.0);
