--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod node;
 mod output;
 mod rehearse;
+mod scale;
 mod serve;
 mod stand_in;
 mod state;
@@ -59,6 +60,11 @@
     Rehearse(rehearse::Arguments),
     /// Measures the gateway against a pass-through of the same sockets and codecs, on loopback; a line of JSON a case.
     Measure(measure::Arguments),
+    /// Measures what a fleet's size costs each gateway: hollow ones beside real ones; a line of JSON a point and role.
+    Scale(scale::Arguments),
+    /// A process of `umbertray scale`, told by it what to do.
+    #[command(hide = true)]
+    ScaleWorker,
     /// A small NBD client.
     #[command(subcommand)]
     Nbd(nbd::Command),
@@ -88,6 +94,12 @@
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
         Command::Rehearse(arguments) => runtime.block_on(rehearse::run(arguments)),
         Command::Measure(arguments) => runtime.block_on(measure::run(arguments)),
+        Command::Scale(arguments) => {
+            let status = runtime.block_on(scale::run(arguments));
+            runtime.shutdown_background();
+            return status;
+        }
+        Command::ScaleWorker => runtime.block_on(scale::worker()),
         Command::Nbd(command) => runtime.block_on(nbd::run(command)),
     };
     // What still waits for a clock or a socket must not hold up the exit.
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -5,7 +5,8 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 use umbertray_config::Document;
-use umbertray_gateway::Changes;
+use umbertray_gateway::{Changes, Options};
+use umbertray_routing::Settings;
 use umbertray_state::Disk;
 use umbertray_versions::Follower;
 
@@ -62,19 +63,33 @@
     format!("{n} {what}{}", if n == 1 { "" } else { "s" })
 }
 
-/// Starts the gateway that a document describes; where it follows a log of changes, that has the shared settings.
-pub async fn start(
-    document: Document,
-    changes: Option<Changes>,
-) -> Result<umbertray_gateway::Running, String> {
+/// What a document says to start a gateway with; where it follows a log of changes, that has the shared settings.
+fn options(document: Document, changes: Option<Changes>) -> (Arc<Settings>, Options) {
     let Document { listen, list, keeper, seed, state, settings, .. } = document;
     let settings = match &changes {
         Some(changes) => changes.follower.version.settings(&settings),
         None => settings,
     };
-    let options =
-        umbertray_gateway::Options { listen, list, keeper, seed, state: state.map(Into::into), changes };
-    umbertray_gateway::start(Arc::new(settings), options).await.map_err(|error| format!("listen: {error}"))
+    let options = Options { listen, list, keeper, seed, state: state.map(Into::into), changes };
+    (Arc::new(settings), options)
+}
+
+/// Starts the gateway that a document describes.
+pub async fn start(
+    document: Document,
+    changes: Option<Changes>,
+) -> Result<umbertray_gateway::Running, String> {
+    let (settings, options) = options(document, changes);
+    umbertray_gateway::start(settings, options).await.map_err(|error| format!("listen: {error}"))
+}
+
+/// What a script says to start a gateway with, and what its state folder has of earlier runs.
+pub fn prepare(file: &Path) -> Result<(Arc<Settings>, Options), String> {
+    let acted = |folder: &Path| {
+        umbertray_gateway::acted(folder).map_err(|error| format!("the version acted on: {error}"))
+    };
+    let (document, changes) = read(file, acted)?;
+    Ok(options(document, changes))
 }
 
 /// Ends when the program is told to stop.
@@ -89,11 +104,9 @@
 }
 
 pub async fn run(arguments: Arguments) -> Result<(), String> {
-    let acted = |folder: &Path| {
-        umbertray_gateway::acted(folder).map_err(|error| format!("the version acted on: {error}"))
-    };
-    let (document, changes) = read(&arguments.config, acted)?;
-    let mut gateway = start(document, changes).await?;
+    let (settings, options) = prepare(&arguments.config)?;
+    let gateway = umbertray_gateway::start(settings, options).await;
+    let mut gateway = gateway.map_err(|error| format!("listen: {error}"))?;
     let addresses: Vec<String> = gateway.addresses.iter().map(ToString::to_string).collect();
     let exports: Vec<String> = gateway.exports();
     output::print_line(&serde_json::json!({ "nbd": addresses, "exports": exports }).to_string());
--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -6,4 +6,5 @@
 mod hard_cases;
 mod moves;
 mod restarts;
+mod scale;
 mod sessions;
--- /dev/null
+++ b/crates/cli/tests/sockets/scale.rs
@@ -0,0 +1,220 @@
+//! `umbertray scale` at a size of a few, by counts that do not depend on the machine.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use umbertray_scale::hollow::Seen;
+use umbertray_scale::plan::{Limits, Plan};
+use umbertray_scale::point::{Line, Role, Setup, Stage, Start};
+use umbertray_store_wire::Message;
+use umbertray_store_wire::list::{Entry, FromList, State, ToList};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_umbertray");
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("umbertray-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn plan() -> Plan {
+    Plan {
+        gateways: 3,
+        real: 0,
+        stores: 8,
+        answering: Some(6),
+        volumes: 4,
+        changes_per_second: 0.0,
+        restarts_per_hour: 0.0,
+        seconds: 0.5,
+        seed: 1,
+    }
+}
+
+/// Looks at the hollow gateways until they are as wanted.
+async fn until(stage: &mut Stage, wanted: impl Fn(&Seen) -> bool) -> Vec<Seen> {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let (seen, _) = stage.look().await.expect("they can be looked at");
+        if seen.iter().all(&wanted) {
+            return seen;
+        }
+        assert!(Instant::now() < end, "not in {PATIENCE:?}: {seen:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn three_hollow_gateways_hold_eight_listed_stores_and_hear_of_each_change_once() {
+    let folder = folder("scale-counts");
+    let setup = Setup { program: PROGRAM.into(), scratch: folder.clone(), limits: Limits::here() };
+    let mut stage = Stage::start(&plan(), &setup, Start::OneByOne, "tiny").await.expect("it starts");
+    // Held is what is listed; links are made to those that answer, and tried once to the others.
+    let seen = until(&mut stage, |_| true).await;
+    assert_eq!(seen.iter().map(|seen| seen.gateway).collect::<Vec<_>>(), [0, 1, 2]);
+    for seen in &seen {
+        assert_eq!((seen.listed, seen.whole_lists, seen.deltas), (8, 1, 0));
+        assert_eq!((seen.linked, seen.refused, seen.over), (6, 2, false));
+    }
+    // Each of three gateways and the keeper gets a welcome and one whole list.
+    let (list, _) = stage.traffic().await.expect("the list can be asked");
+    // Addresses are text; the system's own ports have five digits.
+    let entry = |address: &str| Entry {
+        store: 1,
+        address: address.parse().expect("an address"),
+        shard: 1,
+        zone: 1,
+        state: State::Ready,
+        start: 1,
+        age: None,
+    };
+    let hello = (ToList::Hello { run: 1 }.frame().len() + ToList::Subscribe.frame().len()) as u64;
+    let welcome = FromList::Welcome { term: 0 }.frame().len() as u64;
+    let (answers, refuses) = (entry("127.0.0.1:40000"), entry("127.0.0.2:1"));
+    let entries = [vec![answers.clone(); 6], vec![refuses.clone(); 2]].concat();
+    let whole = FromList::Full(entries).frame().len() as u64;
+    assert_eq!(list.frames, 2 * 4);
+    assert_eq!(list.read, 4 * hello);
+    assert_eq!(list.written, 4 * (welcome + whole));
+    // Stores 1 and 7 are in zone 1, and 7 does not answer: two frames of one entry each to each of the four, no whole list.
+    assert_eq!(stage.zone(1, false).await.expect("it can be told"), 2);
+    let seen = until(&mut stage, |seen| seen.deltas >= 2).await;
+    assert!(seen.iter().all(|seen| (seen.deltas, seen.whole_lists) == (2, 1)), "{seen:?}");
+    let delta = |entry| FromList::Changes(vec![Entry { state: State::Gone, ..entry }]).frame().len() as u64;
+    let deltas = delta(answers) + delta(refuses);
+    let (after, _) = stage.traffic().await.expect("the list can be asked");
+    let change = after.since(list);
+    assert_eq!((change.read, change.frames, change.written), (0, 2 * 4, 4 * deltas));
+    assert_eq!(stage.end().await, Vec::<String>::new());
+    std::fs::remove_dir_all(folder).expect("it can be removed");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_gateway_acts_on_each_change_and_a_restarted_one_goes_on_from_there() {
+    let folder = folder("scale-changes");
+    let setup = Setup { program: PROGRAM.into(), scratch: folder.clone(), limits: Limits::here() };
+    let plan = Plan { real: 1, changes_per_second: 8.0, restarts_per_hour: 7200.0, ..plan() };
+    let plan = Plan { seconds: 1.0, ..plan };
+    let mut stage = Stage::start(&plan, &setup, Start::AtOnce, "tiny").await.expect("it starts");
+    let lines = stage.measure("tiny", 0).await.expect("it is measured");
+    let roles: Vec<Option<Role>> = lines.iter().map(|line| line.role).collect();
+    assert_eq!(roles, [None, Some(Role::Gateway), Some(Role::Keeper), Some(Role::List), Some(Role::Store)]);
+    for line in &lines {
+        assert_eq!(line.broken, Vec::<String>::new(), "{line:?}");
+        assert_eq!((line.gateways, line.stores, line.answering, line.hollow), (3, 8, 6, 2));
+        assert_eq!((line.changes, line.restarts), (8, 2));
+    }
+    assert!(lines[0].in_force_seconds.is_some() && lines[1].in_force_seconds.is_some());
+    assert!(lines[0].rss_mb > 1.0 && lines[0].control_bytes_per_second > 0.0);
+    // Version 1 is what they all began with.
+    let (seen, _) = stage.look().await.expect("they can be looked at");
+    assert!(seen.iter().all(|seen| seen.version == 9 && !seen.over), "{seen:?}");
+    assert_eq!(stage.end().await, Vec::<String>::new());
+    std::fs::remove_dir_all(folder).expect("it can be removed");
+}
+
+/// Processes whose parent is this one.
+fn children(of: u32) -> Vec<u32> {
+    let folders = std::fs::read_dir("/proc").expect("processes can be listed");
+    let ids = folders.flatten().filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    let parent = |id: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse::<u32>().ok()
+    };
+    ids.filter(|id| parent(id) == Some(of)).collect()
+}
+
+fn there(id: u32) -> bool {
+    Path::new(&format!("/proc/{id}")).exists()
+}
+
+fn wait(mut over: impl FnMut() -> bool, what: &str) {
+    let end = Instant::now() + PATIENCE;
+    while !over() {
+        assert!(Instant::now() < end, "{what}: not in {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_run_that_is_told_to_stop_ends_all_that_it_started() {
+    let mut run = Command::new(PROGRAM)
+        .args(["scale", "--gateways", "3", "--real", "1", "--stores", "8", "--seconds", "600"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    // List, stores, keeper, a real gateway, a worker.
+    wait(|| children(run.id()).len() == 5, "it starts five processes");
+    let started = children(run.id());
+    let id = nix::unistd::Pid::from_raw(run.id() as i32);
+    nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).expect("it can be told");
+    let status = run.wait().expect("it ends");
+    assert_eq!(status.code(), Some(1));
+    wait(|| started.iter().all(|id| !there(*id)), "what it started ends with it");
+}
+
+#[test]
+fn workers_of_a_run_that_is_killed_end_by_themselves() {
+    let mut run = Command::new(PROGRAM)
+        .args(["scale", "--gateways", "2", "--real", "0", "--stores", "8", "--seconds", "600"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    // List, stores, keeper, a worker; the keeper is the product's own and does not go with it.
+    wait(|| children(run.id()).len() == 4, "it starts four processes");
+    let is_worker = |id: &u32| {
+        std::fs::read_to_string(format!("/proc/{id}/cmdline")).is_ok_and(|line| line.contains("scale-worker"))
+    };
+    let (workers, keepers): (Vec<u32>, Vec<u32>) = children(run.id()).into_iter().partition(is_worker);
+    assert_eq!(workers.len(), 3);
+    run.kill().expect("it can be killed");
+    run.wait().expect("it ends");
+    for keeper in keepers {
+        let keeper = nix::unistd::Pid::from_raw(keeper as i32);
+        nix::sys::signal::kill(keeper, nix::sys::signal::Signal::SIGKILL).expect("the keeper can be killed");
+    }
+    wait(|| workers.iter().all(|id| !there(*id)), "workers end with the run");
+}
+
+fn refused(arguments: &[&str]) -> String {
+    let said = Command::new(PROGRAM).arg("scale").args(arguments).output().expect("it runs");
+    assert_eq!(said.status.code(), Some(2), "{said:?}");
+    assert!(said.stdout.is_empty());
+    String::from_utf8(said.stderr).expect("text")
+}
+
+#[test]
+fn what_cannot_be_run_is_refused_before_anything_starts() {
+    let said = refused(&["--gateways", "1700", "--stores", "4000", "--answering", "4000"]);
+    assert!(said.contains("processes") && said.contains("300") && said.contains("6800000"), "{said}");
+    let said = refused(&["--gateways", "100000", "--stores", "4000"]);
+    assert!(said.contains("limit"), "{said}");
+    let said = refused(&["--gateways", "3", "--stores", "8", "--out", "/proc/nowhere"]);
+    assert!(said.contains("/proc/nowhere"), "{said}");
+}
+
+#[test]
+fn a_run_prints_a_line_a_role_and_keeps_them_with_the_machine() {
+    let folder = folder("scale-out");
+    let out = folder.join("out");
+    let said = Command::new(PROGRAM)
+        .args(["scale", "--gateways", "2", "--real", "0", "--stores", "8", "--volumes", "4"])
+        .args(["--seconds", "0.3", "--out"])
+        .arg(&out)
+        .output()
+        .expect("it runs");
+    assert!(said.status.success(), "{said:?}");
+    let text = String::from_utf8(said.stdout).expect("text");
+    let lines: Vec<Line> = text.lines().map(|line| serde_json::from_str(line).expect("a line")).collect();
+    assert_eq!(lines.len(), 4);
+    let kept = std::fs::read_to_string(out.join("lines.jsonl")).expect("lines are kept");
+    assert_eq!(kept, text);
+    let machine = std::fs::read_to_string(out.join("machine.json")).expect("the machine is kept");
+    let machine: serde_json::Value = serde_json::from_str(&machine).expect("JSON");
+    assert!(machine["cores"].as_u64() > Some(0) && machine["memory_mb"].as_u64() > Some(0));
+    std::fs::remove_dir_all(folder).expect("it can be removed");
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,11 @@
         settings.volumes.iter().filter(|volume| !volume.gone).map(|volume| volume.name.clone()).collect()
     }
 
+    /// It has ended, as [`Running::ended`] tells.
+    pub fn is_over(&self) -> bool {
+        self.hub.is_finished()
+    }
+
     /// Returns when the gateway cannot go on.
     pub async fn ended(&mut self) -> Result<(), String> {
         (&mut self.hub).await.unwrap_or_else(|error| Err(format!("the hub ended: {error}")))
--- /dev/null
+++ b/crates/scale/src/hollow.rs
@@ -0,0 +1,204 @@
+//! Gateways of one process, without clients: the product's own, looked on where its loop hosts its core.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use umbertray_gateway::{Clock, Options, Running};
+use umbertray_routing::{Core, Host, Input, Output, Settings};
+use umbertray_store_wire::list::{FromList, State};
+
+use crate::script;
+
+/// Reads a gateway's script as the program does.
+pub type Prepare = dyn Fn(&Path) -> Result<(Arc<Settings>, Options), String> + Send + Sync;
+
+/// A gateway has acted on a version: its core has taken it in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acted {
+    pub gateway: u32,
+    pub version: u64,
+    /// Microseconds since 1970, by this machine's clock.
+    pub at: u64,
+}
+
+/// Microseconds since 1970, the same for all processes of a machine.
+pub fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+/// What a gateway's core was told and did since its start.
+#[derive(Default)]
+pub struct Counts {
+    turns: AtomicU64,
+    /// Stores that the last whole list had, but those gone.
+    listed: AtomicU64,
+    whole_lists: AtomicU64,
+    /// Entries told one by one.
+    deltas: AtomicU64,
+    linked: AtomicU64,
+    refused: AtomicU64,
+    version: AtomicU64,
+}
+
+/// The same, read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    pub gateway: u32,
+    pub turns: u64,
+    pub listed: u64,
+    pub whole_lists: u64,
+    pub deltas: u64,
+    /// Links that were made, and such as could not be.
+    pub linked: u64,
+    pub refused: u64,
+    pub version: u64,
+    pub over: bool,
+}
+
+struct Counted {
+    core: Core,
+    gateway: u32,
+    counts: Arc<Counts>,
+    acted: Arc<Mutex<Vec<Acted>>>,
+}
+
+fn add(count: &AtomicU64, more: usize) {
+    count.fetch_add(more as u64, Ordering::Relaxed);
+}
+
+impl Counts {
+    fn hear(&self, input: &Input) {
+        match input {
+            Input::List(FromList::Full(entries)) => {
+                let there = entries.iter().filter(|entry| entry.state != State::Gone).count();
+                self.listed.store(there as u64, Ordering::Relaxed);
+                add(&self.whole_lists, 1);
+            }
+            Input::List(FromList::Changes(entries)) => add(&self.deltas, entries.len()),
+            Input::Linked { .. } => add(&self.linked, 1),
+            Input::NotLinked { .. } => add(&self.refused, 1),
+            _ => {}
+        }
+    }
+}
+
+impl Host for Counted {
+    fn open(&self) -> usize {
+        self.core.open()
+    }
+
+    fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Vec<Output> {
+        add(&self.counts.turns, 1);
+        let mut version = None;
+        for input in &inputs {
+            self.counts.hear(input);
+            if let Input::Changed { settings, .. } = input {
+                version = Some(script::version(settings));
+            }
+        }
+        let outputs = self.core.handle(now, inputs);
+        version.into_iter().for_each(|version| note(self.gateway, version, &self.counts, &self.acted));
+        outputs
+    }
+}
+
+fn note(gateway: u32, version: u64, counts: &Counts, acted: &Mutex<Vec<Acted>>) {
+    counts.version.store(version, Ordering::Relaxed);
+    let mut acted = acted.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    // Whoever reads it does so each second or sooner; a run that forgot to must not grow for ever.
+    if acted.len() < MOST_ACTED {
+        acted.push(Acted { gateway, version, at: now() });
+    }
+}
+
+const MOST_ACTED: usize = 1 << 20;
+/// A gateway that starts is looked at so often, and so many times.
+const WAIT: Duration = Duration::from_millis(2);
+const MOST_WAITS: u32 = 2_000;
+
+struct Member {
+    file: PathBuf,
+    running: Option<Running>,
+    counts: Arc<Counts>,
+}
+
+/// The gateways of a process. Dropping it ends them at once.
+pub struct Fleet {
+    prepare: Arc<Prepare>,
+    members: BTreeMap<u32, Member>,
+    acted: Arc<Mutex<Vec<Acted>>>,
+}
+
+impl Fleet {
+    pub fn new(prepare: Arc<Prepare>) -> Fleet {
+        Fleet { prepare, members: BTreeMap::new(), acted: Arc::default() }
+    }
+
+    /// Starts a gateway, or starts it again, as a restarted process would: with the folder it had.
+    pub async fn start(&mut self, gateway: u32, file: PathBuf) -> Result<(), String> {
+        self.stop(gateway).await?;
+        let (settings, options) = tokio::task::block_in_place(|| (self.prepare)(&file))?;
+        let (clock, counts): (_, Arc<Counts>) = (Clock::start(), Arc::default());
+        let core = Core::new(settings.clone(), options.seed, clock.now());
+        let (acted, looked_on) = (self.acted.clone(), counts.clone());
+        note(gateway, script::version(&settings), &counts, &acted);
+        let host = Counted { core, gateway, counts: looked_on, acted };
+        let running = umbertray_gateway::start_hosting(Box::new(host), clock, settings, options).await;
+        let running = running.map_err(|error| format!("gateway {gateway}: {error}"))?;
+        self.members.insert(gateway, Member { file, running: Some(running), counts });
+        Ok(())
+    }
+
+    /// Returns when a gateway has made its links to so many stores or been refused, or after a while.
+    pub async fn linked(&self, gateway: u32, stores: u64) {
+        let Some(member) = self.members.get(&gateway) else { return };
+        let counts = &member.counts;
+        let over =
+            || counts.linked.load(Ordering::Relaxed) + counts.refused.load(Ordering::Relaxed) >= stores;
+        for _ in 0..MOST_WAITS {
+            if over() {
+                return;
+            }
+            tokio::time::sleep(WAIT).await;
+        }
+    }
+
+    /// Ends a gateway, if it runs, as a process does that is asked to stop.
+    async fn stop(&mut self, gateway: u32) -> Result<(), String> {
+        let running = self.members.get_mut(&gateway).and_then(|member| member.running.take());
+        match running {
+            Some(running) => running.stop().await,
+            None => Ok(()),
+        }
+    }
+
+    pub async fn restart(&mut self, gateway: u32) -> Result<(), String> {
+        let file = self.members.get(&gateway).map(|member| member.file.clone());
+        self.start(gateway, file.ok_or_else(|| format!("there is no gateway {gateway} here"))?).await
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        let seen = |(gateway, member): (&u32, &Member)| Seen {
+            gateway: *gateway,
+            turns: of(&member.counts.turns),
+            listed: of(&member.counts.listed),
+            whole_lists: of(&member.counts.whole_lists),
+            deltas: of(&member.counts.deltas),
+            linked: of(&member.counts.linked),
+            refused: of(&member.counts.refused),
+            version: of(&member.counts.version),
+            over: member.running.as_ref().is_none_or(Running::is_over),
+        };
+        self.members.iter().map(seen).collect()
+    }
+
+    /// What was acted on since it was last asked.
+    pub fn acted(&self) -> Vec<Acted> {
+        std::mem::take(&mut *self.acted.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/plan.rs
@@ -0,0 +1,182 @@
+//! A fleet's sizes, what it will need, and whether there is room for it: decided before anything starts.
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes that all processes of a run may hold together.
+pub const MOST_BYTES: u64 = 12 << 30;
+/// Processes of a run, this one among them.
+pub const MOST_PROCESSES: u32 = 300;
+/// Links of gateways to stores that a run opens by itself; more are made where `--answering` asks for them.
+pub const LINKS: u64 = 20_000;
+/// Gateways of one process at most: each has a thread that follows the changes.
+const A_WORKER: u64 = 450;
+/// Descriptors that a process has besides those that grow with the fleet.
+const OWN: u64 = 64;
+/// Of a gateway besides its links: listener, list, keeper, state folder's lock, what it reads from.
+const A_GATEWAY: u64 = 6;
+
+/// Bytes held by what is there, to refuse by. Trials of `umbertray scale` on a busy machine of 8 cores, the text before the
+/// sweep was made flat, rounded up: 20 hollow gateways, 8 stores answering, held 44, 141 and 465 MB with 250, 1,000 and 4,000
+/// listed; 3 of them with 4,000 answering 153 MB, and the stores of the 16,000 links 204 MB.
+pub const PROCESS_BYTES: u64 = 12 << 20;
+pub const GATEWAY_BYTES: u64 = 1 << 20;
+pub const LISTED_BYTES: u64 = 5_600;
+pub const VOLUME_BYTES: u64 = 1_000;
+/// Both ends of a link: gateway's and stand-in store's.
+pub const LINK_BYTES: u64 = 20 << 10;
+
+/// One size of a fleet, and what is done with it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// All gateways, the real ones among them.
+    pub gateways: u32,
+    /// Gateways in processes of their own.
+    pub real: u32,
+    /// Stores that the list names.
+    pub stores: u32,
+    /// Stores that answer at their address; at the others' nobody listens. Absent: as many as there is room for.
+    pub answering: Option<u32>,
+    pub volumes: u32,
+    pub changes_per_second: f64,
+    pub restarts_per_hour: f64,
+    pub seconds: f64,
+    pub seed: u64,
+}
+
+impl Plan {
+    pub fn hollow(&self) -> u32 {
+        self.gateways.saturating_sub(self.real)
+    }
+}
+
+/// What this machine lets a process have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub descriptors: u64,
+    pub bytes: u64,
+    pub processes: u32,
+}
+
+impl Limits {
+    /// The limits of a run on this machine, with its descriptors as the system allows them.
+    pub fn here() -> Limits {
+        let most = nix::sys::resource::getrlimit(nix::sys::resource::Resource::RLIMIT_NOFILE);
+        Limits {
+            descriptors: most.map_or(1024, |(soft, _)| soft),
+            bytes: MOST_BYTES,
+            processes: MOST_PROCESSES,
+        }
+    }
+}
+
+/// What a plan comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    pub answering: u32,
+    /// Processes of hollow gateways.
+    pub workers: u32,
+    /// Processes of stand-in stores.
+    pub store_processes: u32,
+    pub processes: u32,
+    pub bytes: u64,
+    /// Of the process that has most.
+    pub descriptors: u64,
+}
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum Refused {
+    #[error("{0}")]
+    Wrong(String),
+    #[error(
+        "the plan needs {need} MB of memory, the limit is {limit} MB: fewer gateways, stores or answering stores"
+    )]
+    Memory { need: u64, limit: u64 },
+    #[error(
+        "the plan needs {need} processes, the limit is {limit}: fewer real gateways or answering stores ({links} links of gateways to stores)"
+    )]
+    Processes { need: u32, limit: u32, links: u64 },
+    #[error(
+        "a {role} needs {need} descriptors, the limit is {limit} (ulimit -n): fewer gateways or answering stores, or a higher limit"
+    )]
+    Descriptors { role: &'static str, need: u64, limit: u64 },
+    #[error("--out {folder}: cannot be written: {why}")]
+    Out { folder: String, why: String },
+}
+
+fn sane(plan: &Plan) -> Result<(), Refused> {
+    let wrong = |what: String| Err(Refused::Wrong(what));
+    if plan.gateways == 0 || plan.stores == 0 || plan.volumes == 0 {
+        return wrong(format!(
+            "{} gateways, {} stores, {} volumes: one of each is the least",
+            plan.gateways, plan.stores, plan.volumes
+        ));
+    }
+    if plan.real > plan.gateways {
+        return wrong(format!("{} real gateways of {} in all", plan.real, plan.gateways));
+    }
+    if let Some(answering) = plan.answering.filter(|answering| *answering > plan.stores) {
+        return wrong(format!("{answering} answering stores of {} listed", plan.stores));
+    }
+    let spans = [
+        ("seconds", plan.seconds, 0.1, 3600.0),
+        ("changes a second", plan.changes_per_second, 0.0, 1000.0),
+        ("restarts an hour", plan.restarts_per_hour, 0.0, 360_000.0),
+    ];
+    for (what, figure, least, most) in spans {
+        if !(least..=most).contains(&figure) {
+            return wrong(format!("{figure} {what} is not within {least} to {most}"));
+        }
+    }
+    Ok(())
+}
+
+/// Works out what a plan needs, or says what there is no room for.
+pub fn demand(plan: &Plan, limits: &Limits) -> Result<Demand, Refused> {
+    sane(plan)?;
+    let gateways = u64::from(plan.gateways);
+    let (hollow, stores) = (u64::from(plan.hollow()), u64::from(plan.stores));
+    let by_itself = (LINKS / gateways).max(1).min(stores) as u32;
+    let answering = u64::from(plan.answering.unwrap_or(by_itself));
+    let room = limits.descriptors.saturating_sub(OWN);
+    let a_gateway = answering + A_GATEWAY;
+    // Each store has its listener, a link from each gateway, and one from the keeper where it gives orders.
+    let a_store = gateways + 2;
+    let needs = [
+        ("gateway", a_gateway),
+        ("stand-in store", if answering > 0 { a_store } else { 0 }),
+        ("list", gateways + 1),
+    ];
+    for (role, need) in needs {
+        if need > room {
+            return Err(Refused::Descriptors { role, need: need + OWN, limit: limits.descriptors });
+        }
+    }
+    let in_worker = (room / a_gateway).min(A_WORKER);
+    let in_store_process = room / a_store;
+    let workers = hollow.div_ceil(in_worker);
+    let store_processes = answering.div_ceil(in_store_process);
+    let links = answering * gateways;
+    // Itself, the list and the keeper.
+    let processes = workers + store_processes + u64::from(plan.real) + 3;
+    if processes > u64::from(limits.processes) {
+        let need = u32::try_from(processes).unwrap_or(u32::MAX);
+        return Err(Refused::Processes { need, limit: limits.processes, links });
+    }
+    let a_gateway_bytes = GATEWAY_BYTES + stores * LISTED_BYTES + u64::from(plan.volumes) * VOLUME_BYTES;
+    let bytes = processes * PROCESS_BYTES + gateways * a_gateway_bytes + links * LINK_BYTES;
+    if bytes > limits.bytes {
+        return Err(Refused::Memory { need: bytes >> 20, limit: limits.bytes >> 20 });
+    }
+    let descriptors = OWN
+        + (in_worker.min(hollow) * a_gateway)
+            .max(in_store_process.min(answering) * a_store)
+            .max(gateways + 1);
+    Ok(Demand {
+        answering: answering as u32,
+        workers: workers as u32,
+        store_processes: store_processes as u32,
+        processes: processes as u32,
+        bytes,
+        descriptors,
+    })
+}
--- /dev/null
+++ b/crates/scale/src/script.rs
@@ -0,0 +1,125 @@
+//! The settings that a fleet of a run works by, as scripts and as a log of changes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::json;
+use umbertray_routing::Settings;
+use umbertray_state::Disk;
+use umbertray_versions::guard::GUARDS;
+use umbertray_versions::log::{GROWN, Log};
+use umbertray_versions::{Change, Configuration, Edit, Key, Kind};
+
+use crate::ScaleError;
+use crate::plan::Plan;
+
+/// The plan whose rate tells a version from the others: settings do not say their number.
+const MARK: &str = "mark";
+/// What a version's number is added to in it.
+const MARKED: f64 = 1000.0;
+
+const SHARED: &str = r#"
+op_type("lookup", target_latency = 100 * ms, op_timeout = 1.0, utility = 3)
+op_type("update", target_latency = 200 * ms, op_timeout = 2.0, utility = 2)
+op_type("bulk", target_latency = 800 * ms, op_timeout = 4.0, utility = 1)
+request("read", up_to = 64 * KiB, op_type = "lookup")
+request("status", op_type = "lookup")
+request(["write", "zero"], up_to = 64 * KiB, op_type = "update")
+request(["flush", "trim"], op_type = "update")
+request(["read", "write", "zero"], op_type = "bulk")
+plan("basic", weight = 1, rate = 300)
+plan("priority", weight = 4, rate = 600, reserve = 20)
+plan("mark", weight = 1, rate = 1001)
+rules(cold_from = 0.25, cold_time = 4, cold_units = 40, fall_multiple = 3, fall_time = 1,
+      further_free = 5, further_share = 0.2, further_span = 10)
+"#;
+
+const OWN: &str = r#"
+bounds(sessions = 4096, bytes = 128 * MiB, bytes_a_session = 8 * MiB, request_bytes = 4 * MiB)
+"#;
+
+fn gateway(listen: &str, rest: &str) -> String {
+    format!("gateway(listen = [{listen:?}], extent = 256 * KiB, unit = 16 * KiB, most_units = 8, {rest})\n")
+}
+
+/// A gateway's own script; all else it has from the log of changes.
+pub fn own(seed: u64, list: SocketAddr, keeper: SocketAddr, changes: &Path, state: &Path) -> String {
+    let rest = format!(
+        "list = {:?}, keeper = {:?}, seed = {seed}, changes = {:?}, state = {:?}",
+        list.to_string(),
+        keeper.to_string(),
+        changes.display().to_string(),
+        state.display().to_string()
+    );
+    gateway("127.0.0.1:0", &rest) + OWN
+}
+
+pub fn keeper(listen: SocketAddr, list: SocketAddr, folder: &Path) -> String {
+    let (listen, list, folder) = (listen.to_string(), list.to_string(), folder.display().to_string());
+    format!("keeper(listen = {listen:?}, list = {list:?}, folder = {folder:?})\n")
+}
+
+/// What all gateways of a plan share, as one script.
+pub fn shared(plan: &Plan) -> String {
+    let volumes = format!(
+        "for n in range({}):\n    volume(\"v%d\" % n, size = 64 * MiB, plan = [\"basic\", \"priority\"][n % 2], gateways = {})\n",
+        plan.volumes, plan.gateways
+    );
+    gateway("127.0.0.1:0", "list = \"127.0.0.1:1\"") + SHARED + &volumes + OWN
+}
+
+/// The version that settings are of.
+pub fn version(settings: &Settings) -> u64 {
+    let mark = settings.plans.iter().find(|plan| plan.name == MARK);
+    mark.map_or(0, |plan| (plan.rate - MARKED) as u64)
+}
+
+/// The writer's end of the log of changes.
+pub struct Writer {
+    log: Log,
+}
+
+impl Writer {
+    /// Begins a log in an empty folder, with the plan's settings as version 1.
+    pub fn begin(folder: &Path, plan: &Plan) -> Result<Writer, ScaleError> {
+        let failed = |why: String| ScaleError::Changes(why);
+        let document = umbertray_config::read("scale.star", shared(plan))
+            .map_err(|problems| failed(problems.iter().map(|problem| format!("{problem}\n")).collect()))?;
+        let disk = Disk::open(folder).map_err(|error| failed(error.to_string()))?;
+        let log = Log::open(Box::new(disk), GROWN).map_err(|error| failed(error.to_string()))?;
+        let mut writer = Writer { log };
+        let first = Configuration::of_calls(&document.calls());
+        writer.commit(writer.log.head().configuration.diff(&first))?;
+        Ok(writer)
+    }
+
+    /// One change of one figure; the version that it makes.
+    pub fn change(&mut self) -> Result<u64, ScaleError> {
+        let next = self.log.head().number + 1;
+        let edit = Edit::Set {
+            key: Key::new(Kind::Plan, MARK),
+            field: "rate".into(),
+            value: json!(MARKED + next as f64),
+        };
+        self.commit(vec![edit])
+    }
+
+    pub fn version(&self) -> u64 {
+        self.log.head().number
+    }
+
+    fn commit(&mut self, edits: Vec<Edit>) -> Result<u64, ScaleError> {
+        let base = self.log.head().number;
+        let change = Change {
+            id: format!("scale-{base}"),
+            base,
+            actor: "scale".into(),
+            reason: "to measure".into(),
+            at: 0,
+            edits,
+            allow: GUARDS.iter().map(|(_, guard)| *guard).collect(),
+        };
+        self.log.commit(change).map_err(|error| ScaleError::Changes(error.to_string()))?;
+        Ok(self.log.head().number)
+    }
+}
--- /dev/null
+++ b/crates/scale/src/worker.rs
@@ -0,0 +1,165 @@
+//! A process of a run: gateways, stand-in stores or the list of them. It does what it is told, a line of JSON each, and ends
+//! when nobody tells it any more.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use umbertray_standin::book::Book;
+use umbertray_standin::fleet::any_port;
+use umbertray_standin::list::{self, Listed};
+use umbertray_standin::model::Power;
+use umbertray_standin::store::{self, Identity};
+use umbertray_standin::traffic::Crossed;
+use umbertray_store_wire::list::State;
+
+use crate::hollow::{Acted, Fleet, Prepare, Seen};
+
+/// A store as the list is to name it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Named {
+    pub store: u64,
+    pub address: SocketAddr,
+    pub zone: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Starts stand-in stores of these ids, each with the shard of the same number.
+    Stores {
+        from: u64,
+        count: u32,
+        seed: u64,
+    },
+    /// Starts the list; port 0 lets the system choose.
+    List {
+        listen: SocketAddr,
+        stores: Vec<Named>,
+    },
+    /// Starts gateways on scripts that lie there; each, where so many stores are listed, once the one before it has made its
+    /// links or been refused: what a start holds for a moment is then held once.
+    Gateways {
+        files: Vec<(u32, PathBuf)>,
+        after: Option<u64>,
+    },
+    Restart {
+        gateway: u32,
+    },
+    /// All stores of a zone are gone, or back and cold.
+    Zone {
+        zone: u32,
+        there: bool,
+    },
+    Look,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reply {
+    Stores(Vec<SocketAddr>),
+    List(SocketAddr),
+    Done,
+    Looked(Look),
+    Failed(String),
+}
+
+/// What a worker has seen.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Look {
+    /// Bytes at the sockets of its stand-ins since the start.
+    pub traffic: Crossed,
+    pub gateways: Vec<Seen>,
+    /// Since the last look.
+    pub acted: Vec<Acted>,
+}
+
+struct Worker {
+    fleet: Fleet,
+    stores: Vec<store::Running>,
+    list: Option<(list::Running, Vec<Named>)>,
+}
+
+/// Works until standard input ends, which it does with the process that started this one, however that ends.
+pub async fn run(prepare: Arc<Prepare>) -> Result<(), String> {
+    let mut worker = Worker { fleet: Fleet::new(prepare), stores: Vec::new(), list: None };
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    let mut out = tokio::io::stdout();
+    while let Some(line) = lines.next_line().await.map_err(|error| error.to_string())? {
+        let order = serde_json::from_str(&line).map_err(|error| format!("an order: {error}"))?;
+        let reply = worker.obey(order).await.unwrap_or_else(Reply::Failed);
+        let mut text = serde_json::to_vec(&reply).map_err(|error| error.to_string())?;
+        text.push(b'\n');
+        out.write_all(&text).await.map_err(|error| error.to_string())?;
+        out.flush().await.map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
+impl Worker {
+    async fn obey(&mut self, order: Order) -> Result<Reply, String> {
+        match order {
+            Order::Stores { from, count, seed } => self.start_stores(from, count, seed).await,
+            Order::List { listen, stores } => self.start_list(listen, stores).await,
+            Order::Gateways { files, after } => {
+                for (gateway, file) in files {
+                    self.fleet.start(gateway, file).await?;
+                    if let Some(stores) = after {
+                        self.fleet.linked(gateway, stores).await;
+                    }
+                }
+                Ok(Reply::Done)
+            }
+            Order::Restart { gateway } => self.fleet.restart(gateway).await.map(|()| Reply::Done),
+            Order::Zone { zone, there } => {
+                let (list, stores) = self.list.as_ref().ok_or("there is no list here")?;
+                for named in stores.iter().filter(|named| named.zone == zone) {
+                    if there {
+                        list.restarted(named.store, named.address);
+                    } else {
+                        list.state(named.store, State::Gone);
+                    }
+                }
+                Ok(Reply::Done)
+            }
+            Order::Look => {
+                let stores = self.stores.iter().map(|store| store.traffic.crossed());
+                let list = self.list.iter().map(|(list, _)| list.traffic.crossed());
+                let traffic = stores.chain(list).fold(Crossed::default(), std::ops::Add::add);
+                let (gateways, acted) = (self.fleet.seen(), self.fleet.acted());
+                Ok(Reply::Looked(Look { traffic, gateways, acted }))
+            }
+        }
+    }
+
+    async fn start_stores(&mut self, from: u64, count: u32, seed: u64) -> Result<Reply, String> {
+        let mut addresses = Vec::new();
+        for store in from..from + u64::from(count) {
+            let (power, medium, book) = (Power::default(), Arc::default(), Book::default());
+            let identity = Identity { store, shard: store as u32, power, medium, book, seed };
+            let running = store::start(identity, any_port(), false).await;
+            let running = running.map_err(|error| format!("store {store}: {error}"))?;
+            addresses.push(running.address);
+            self.stores.push(running);
+        }
+        Ok(Reply::Stores(addresses))
+    }
+
+    async fn start_list(&mut self, listen: SocketAddr, stores: Vec<Named>) -> Result<Reply, String> {
+        let list = list::start(listen).await.map_err(|error| format!("list at {listen}: {error}"))?;
+        for Named { store, address, zone } in &stores {
+            let (shard, state) = (*store as u32, State::Ready);
+            let listed = Listed { address: *address, shard, zone: *zone, state, start: 1, started: None };
+            list.list(*store, listed);
+        }
+        let address = list.address;
+        self.list = Some((list, stores));
+        Ok(Reply::List(address))
+    }
+}
+
+/// How long a worker may take to do what it is told; starting hundreds of gateways on a busy machine is the longest.
+pub const PATIENCE: Duration = Duration::from_secs(180);
--- /dev/null
+++ b/crates/scale/tests/fits.rs
@@ -0,0 +1,105 @@
+//! Slopes over points made by hand.
+
+use std::collections::BTreeMap;
+
+use umbertray_scale::fit::{Fit, HeldOut, Quantiles, Spread};
+use umbertray_scale::hollow::Acted;
+use umbertray_scale::point::spans;
+
+fn line(intercept: f64, slope: f64, counts: &[f64]) -> Vec<(f64, f64)> {
+    counts.iter().map(|count| (*count, intercept + slope * count)).collect()
+}
+
+fn near(one: f64, other: f64) {
+    assert!((one - other).abs() < 1e-9, "{one} is not {other}");
+}
+
+#[test]
+fn an_exact_line_is_recovered() {
+    let fit = Fit::of(&line(3.5, 0.25, &[250.0, 500.0, 1000.0, 2000.0, 4000.0])).expect("five points");
+    near(fit.intercept, 3.5);
+    near(fit.slope, 0.25);
+    near(fit.residual, 0.0);
+    assert_eq!(fit.points, 5);
+}
+
+#[test]
+fn the_residual_is_the_largest_distance_from_the_line() {
+    // The line through these is y = 1 + x, each off by a half but the middle one by one.
+    let fit = Fit::of(&[(0.0, 1.5), (1.0, 1.0), (2.0, 3.5)]).expect("three points");
+    near(fit.slope, 1.0);
+    near(fit.intercept, 1.0);
+    near(fit.residual, 1.0);
+}
+
+#[test]
+fn one_count_has_no_slope() {
+    assert_eq!(Fit::of(&[]), None);
+    assert_eq!(Fit::of(&[(4.0, 1.0)]), None);
+    assert_eq!(Fit::of(&[(4.0, 1.0), (4.0, 2.0)]), None);
+}
+
+#[test]
+fn the_largest_is_foretold_from_points_up_to_half_of_it() {
+    let counts = [250.0, 500.0, 1000.0, 2000.0, 4000.0];
+    let held = HeldOut::of(&line(2.0, 0.01, &counts)).expect("four points below");
+    assert_eq!((held.count, held.fit.points), (4000.0, 4));
+    near(held.foretold, 42.0);
+    near(held.error, 0.0);
+    assert!(held.understood());
+    // A square is a line nowhere.
+    let squares: Vec<_> = counts.iter().map(|count| (*count, count * count)).collect();
+    let held = HeldOut::of(&squares).expect("four points below");
+    assert!(held.error > 0.25 && !held.understood());
+    // The one held out does not help to foretell itself.
+    let mut bent = line(2.0, 0.01, &counts);
+    bent[4].1 = 84.0;
+    let held = HeldOut::of(&bent).expect("four points below");
+    near(held.foretold, 42.0);
+    near(held.error, 0.5);
+    bent[4].1 = 42.0 / 1.25;
+    assert!(HeldOut::of(&bent).expect("four points below").understood());
+}
+
+#[test]
+fn without_two_sizes_below_half_nothing_is_foretold() {
+    assert_eq!(HeldOut::of(&line(0.0, 1.0, &[600.0, 800.0, 1000.0])), None);
+}
+
+#[test]
+fn repeats_have_a_median_and_ends() {
+    assert_eq!(Spread::of(&[]), None);
+    let spread = Spread::of(&[3.0, 1.0, 2.0]).expect("three");
+    assert_eq!((spread.median, spread.least, spread.most), (2.0, 1.0, 3.0));
+    assert_eq!(Spread::of(&[4.0, 1.0, 2.0, 3.0]).expect("four").median, 2.5);
+}
+
+#[test]
+fn quantiles_are_nearest_ranks() {
+    assert_eq!(Quantiles::of(&[]), None);
+    let hundred: Vec<f64> = (1..=100).rev().map(f64::from).collect();
+    let of = Quantiles::of(&hundred).expect("a hundred");
+    assert_eq!((of.p50, of.p99, of.max), (50.0, 99.0, 100.0));
+    let one = Quantiles::of(&[7.0]).expect("one");
+    assert_eq!((one.p50, one.p99, one.max), (7.0, 7.0, 7.0));
+}
+
+/// Seconds from each commit until each gateway had acted on it or a later one.
+#[test]
+fn a_change_is_in_force_once_it_or_a_later_one_is_acted_on() {
+    let committed = BTreeMap::from([(2, 1_000_000), (3, 2_000_000), (4, 2_100_000)]);
+    let acted = |gateway, version, at| Acted { gateway, version, at };
+    let all = [
+        acted(1, 1, 0),
+        acted(1, 2, 1_500_000),
+        // Two at once.
+        acted(1, 4, 2_200_000),
+        acted(2, 4, 2_600_000),
+        acted(2, 3, 2_300_000),
+        acted(2, 2, 1_100_000),
+    ];
+    // 0.5, 0.2, 0.1 and 0.1, 0.3, 0.5.
+    let spans = spans(&committed, &all).expect("six spans");
+    near(spans.p50, 0.2);
+    near(spans.max, 0.5);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod model;
 pub mod platform;
 pub mod store;
+pub mod traffic;
 
 pub use book::{Book, Entry};
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -15,6 +15,8 @@
 use umbertray_store_wire::list::{Entry, FromList, Place, State, ToList};
 use umbertray_store_wire::{Message, next_frame};
 
+use crate::traffic::Traffic;
+
 /// One store as the list has it.
 #[derive(Clone, Debug)]
 pub struct Listed {
@@ -41,6 +43,8 @@
 /// The service at work; dropping it ends it.
 pub struct Running {
     pub address: SocketAddr,
+    /// Of all its connections.
+    pub traffic: Arc<Traffic>,
     known: Arc<Mutex<Known>>,
     changes: broadcast::Sender<u64>,
     task: JoinHandle<()>,
@@ -58,13 +62,15 @@
     let (changes, _) = broadcast::channel(1024);
     let known: Arc<Mutex<Known>> = Arc::default();
     let (shared, sender) = (known.clone(), changes.clone());
+    let traffic: Arc<Traffic> = Arc::default();
+    let counted = traffic.clone();
     let task = tokio::spawn(async move {
         let mut links = tokio::task::JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
-            links.spawn(serve(stream, shared.clone(), sender.subscribe()));
+            links.spawn(serve(stream, shared.clone(), sender.subscribe(), counted.clone()));
         }
     });
-    Ok(Running { address, known, changes, task })
+    Ok(Running { address, traffic, known, changes, task })
 }
 
 impl Running {
@@ -159,22 +165,30 @@
     }
 }
 
-async fn serve(stream: TcpStream, known: Arc<Mutex<Known>>, mut changes: broadcast::Receiver<u64>) {
+async fn serve(
+    stream: TcpStream,
+    known: Arc<Mutex<Known>>,
+    mut changes: broadcast::Receiver<u64>,
+    traffic: Arc<Traffic>,
+) {
     _ = stream.set_nodelay(true);
     let (mut reader, mut writer) = stream.into_split();
     // Each answer and when it is due: a late list is late with each, not with one after another.
     let (to_client, mut answers) = mpsc::unbounded_channel::<(Instant, FromList)>();
+    let counted = traffic.clone();
     let writing = async move {
         while let Some((due, answer)) = answers.recv().await {
             tokio::time::sleep_until(due.into()).await;
-            if writer.write_all(&answer.frame()).await.is_err() {
+            let frame = answer.frame();
+            if writer.write_all(&frame).await.is_err() {
                 return;
             }
+            counted.wrote(frame.len(), 1);
         }
     };
     tokio::select! {
         () = writing => {}
-        () = hear(&mut reader, &known, &mut changes, &to_client) => {}
+        () = hear(&mut reader, &known, &mut changes, &to_client, &traffic) => {}
     }
 }
 
@@ -183,6 +197,7 @@
     known: &Mutex<Known>,
     changes: &mut broadcast::Receiver<u64>,
     to_client: &mpsc::UnboundedSender<(Instant, FromList)>,
+    traffic: &Traffic,
 ) {
     let mut input = BytesMut::new();
     let mut watching = false;
@@ -190,9 +205,8 @@
     loop {
         tokio::select! {
             read = reader.read_buf(&mut input) => {
-                if !read.is_ok_and(|count| count > 0) {
-                    return;
-                }
+                let Some(count) = read.ok().filter(|count| *count > 0) else { return };
+                traffic.read(count);
                 while let Ok(Some(message)) = next_frame::<ToList>(&mut input) {
                     watching |= message == ToList::Subscribe;
                     let mut known = lock();
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -20,6 +20,7 @@
 use crate::book::{Book, Seen};
 use crate::medium::{Applied, Medium};
 use crate::model::{Fault, Job, Met, Model, Power};
+use crate::traffic::Traffic;
 
 /// How often an op is looked at that knows of a move before the store does.
 const EARLY: Duration = Duration::from_millis(1);
@@ -61,6 +62,8 @@
 /// A store at work; dropping it ends it as a kill would.
 pub struct Running {
     pub address: SocketAddr,
+    /// Of all its links.
+    pub traffic: Arc<Traffic>,
     to_task: mpsc::UnboundedSender<ToStoreTask>,
     tasks: [JoinHandle<()>; 2],
     identity: Identity,
@@ -117,13 +120,14 @@
     let units_a_second = identity.power.units_a_second();
     identity.book.write(identity.store, Seen::Up { units_a_second, cold });
     let task = Task::new(identity.clone(), cold);
-    let links = tokio::spawn(accept(listener, to_task.clone()));
+    let traffic: Arc<Traffic> = Arc::default();
+    let links = tokio::spawn(accept(listener, to_task.clone(), traffic.clone()));
     let closing = links.abort_handle();
     let main = tokio::spawn(async move {
         task.run(from_all).await;
         closing.abort();
     });
-    Ok(Running { address, to_task, tasks: [main, links], identity })
+    Ok(Running { address, traffic, to_task, tasks: [main, links], identity })
 }
 
 /// A port that was in use a moment ago by the store's former life is waited for.
@@ -134,22 +138,29 @@
     socket.listen(1024)
 }
 
-async fn accept(listener: TcpListener, to_task: mpsc::UnboundedSender<ToStoreTask>) {
+async fn accept(listener: TcpListener, to_task: mpsc::UnboundedSender<ToStoreTask>, traffic: Arc<Traffic>) {
     let mut links = tokio::task::JoinSet::new();
     for link in 0.. {
         let Ok((stream, _)) = listener.accept().await else { return };
-        links.spawn(serve(link, stream, to_task.clone()));
+        links.spawn(serve(link, stream, to_task.clone(), traffic.clone()));
     }
 }
 
-async fn serve(link: u64, stream: TcpStream, to_task: mpsc::UnboundedSender<ToStoreTask>) {
+async fn serve(
+    link: u64,
+    stream: TcpStream,
+    to_task: mpsc::UnboundedSender<ToStoreTask>,
+    traffic: Arc<Traffic>,
+) {
     _ = stream.set_nodelay(true);
     let (mut reader, mut writer) = stream.into_split();
     let (to_link, mut from_task) = mpsc::unbounded_channel::<Out>();
+    let counted = traffic.clone();
     let writing = async move {
         let mut messages = Vec::new();
         while from_task.recv_many(&mut messages, 64).await > 0 {
             let (mut out, mut told) = (BytesMut::new(), Vec::new());
+            let frames = messages.iter().filter(|message| matches!(message, Out::Message(_))).count();
             for message in messages.drain(..) {
                 match message {
                     Out::Message(message) => out.extend_from_slice(&message.frame()),
@@ -160,6 +171,7 @@
             if writer.write_all(&out).await.is_err() {
                 return;
             }
+            counted.wrote(out.len(), frames);
             told.into_iter().for_each(|tell| _ = tell.send(()));
         }
     };
@@ -174,9 +186,9 @@
                 Ok(Some(message)) => _ = to_reader.send(ToStoreTask::Frame(link, message)),
                 Ok(None) => {
                     input.reserve(CHUNK);
-                    if !reader.read_buf(&mut input).await.is_ok_and(|count| count > 0) {
-                        return;
-                    }
+                    let read = reader.read_buf(&mut input).await.ok();
+                    let Some(count) = read.filter(|count| *count > 0) else { return };
+                    traffic.read(count);
                 }
                 Err(error) => return tracing::warn!(%error, "store: bad frame"),
             }
--- /dev/null
+++ b/crates/standin/src/traffic.rs
@@ -0,0 +1,64 @@
+//! Bytes that crossed a stand-in's sockets.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Serialize};
+
+/// Counted where a stand-in reads from and writes to its sockets.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    read: AtomicU64,
+    written: AtomicU64,
+    frames: AtomicU64,
+}
+
+/// Bytes both ways, and frames written, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crossed {
+    pub read: u64,
+    pub written: u64,
+    pub frames: u64,
+}
+
+impl Traffic {
+    pub fn read(&self, bytes: usize) {
+        self.read.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub fn wrote(&self, bytes: usize, frames: usize) {
+        self.written.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.frames.fetch_add(frames as u64, Ordering::Relaxed);
+    }
+
+    pub fn crossed(&self) -> Crossed {
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Crossed { read: of(&self.read), written: of(&self.written), frames: of(&self.frames) }
+    }
+}
+
+impl Crossed {
+    /// Bytes both ways.
+    pub fn bytes(self) -> u64 {
+        self.read + self.written
+    }
+
+    pub fn since(self, before: Crossed) -> Crossed {
+        Crossed {
+            read: self.read.saturating_sub(before.read),
+            written: self.written.saturating_sub(before.written),
+            frames: self.frames.saturating_sub(before.frames),
+        }
+    }
+}
+
+impl std::ops::Add for Crossed {
+    type Output = Crossed;
+
+    fn add(self, other: Crossed) -> Crossed {
+        Crossed {
+            read: self.read + other.read,
+            written: self.written + other.written,
+            frames: self.frames + other.frames,
+        }
+    }
+}
