--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -60,7 +60,7 @@
     out: Option<PathBuf>,
 }
 
-/// A folder of this run's own, gone with it.
+/// A folder of this run's own, gone with it unless there is something to be read in it.
 struct Scratch(PathBuf);
 
 impl Drop for Scratch {
@@ -69,6 +69,13 @@
     }
 }
 
+impl Scratch {
+    fn keep(mut self) {
+        let folder = std::mem::take(&mut self.0);
+        tracing::warn!(folder = %folder.display(), "logs are kept there");
+    }
+}
+
 impl Arguments {
     fn plan(&self) -> Plan {
         Plan {
@@ -119,6 +126,23 @@
     let scratch = std::env::temp_dir().join(format!("umbertray-scale-{}", std::process::id()));
     let scratch = Scratch(scratch);
     let setup = Setup { program, scratch: scratch.0.clone(), limits };
+    match bring_on(arguments, &plan, &setup, out.as_mut()).await {
+        Ok(unkept) if unkept.is_empty() => Ok(unkept),
+        ended => {
+            scratch.keep();
+            ended
+        }
+    }
+}
+
+/// Runs what is asked for; what did not hold.
+async fn bring_on(
+    arguments: &Arguments,
+    plan: &Plan,
+    setup: &Setup,
+    mut out: Option<&mut Out>,
+) -> Result<Vec<String>, ScaleError> {
+    let failed = |what: &str, error| ScaleError::Io { what: what.into(), error };
     let mut unkept = Vec::new();
     let mut unwritten = None;
     let mut each = |line: &Line| {
@@ -128,7 +152,7 @@
         unwritten = unwritten.take().or(written.err());
     };
     if arguments.moments {
-        moments(&plan, &setup, &mut |moment| {
+        moments(plan, setup, &mut |moment| {
             unkept.extend(moment.broken.iter().map(|why| format!("{}: {why}", moment.moment)));
             output::print_line(&serde_json::to_string(moment).unwrap_or_default());
             let written = out.as_mut().map_or(Ok(()), |out| out.line(moment));
@@ -136,9 +160,9 @@
         })
         .await?;
     } else if arguments.factors.is_empty() {
-        once(&plan, &setup, "one", 0).await?.iter().for_each(&mut each);
+        once(plan, setup, "one", 0).await?.iter().for_each(&mut each);
     } else {
-        let slopes = sweep(&arguments.factors, &plan, arguments.repeats, &setup, &mut each).await?;
+        let slopes = sweep(&arguments.factors, plan, arguments.repeats, setup, &mut each).await?;
         output::print(&format!("{}\n", serde_json::json!({ "slopes": slopes })));
         for slope in slopes.iter().filter(|slope| !slope.held_out.understood()) {
             let (factor, error) = (slope.factor.name(), slope.held_out.error * 100.0);
--- a/crates/cli/tests/sockets/scale.rs
+++ b/crates/cli/tests/sockets/scale.rs
@@ -178,6 +178,8 @@
         nix::sys::signal::kill(keeper, nix::sys::signal::Signal::SIGKILL).expect("the keeper can be killed");
     }
     wait(|| workers.iter().all(|id| !there(*id)), "workers end with the run");
+    let left = std::env::temp_dir().join(format!("umbertray-scale-{}", run.id()));
+    std::fs::remove_dir_all(left).expect("a run that is killed leaves its folder");
 }
 
 fn refused(arguments: &[&str]) -> String {
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -143,6 +143,9 @@
         self.stop(gateway).await?;
         let (settings, options) = tokio::task::block_in_place(|| (self.prepare)(&file))?;
         let (clock, counts): (_, Arc<Counts>) = (Clock::start(), Arc::default());
+        // Turns are counted over its restarts; all else is said of the present run.
+        let turns = self.members.get(&gateway).map(|member| member.counts.turns.load(Ordering::Relaxed));
+        counts.turns.store(turns.unwrap_or_default(), Ordering::Relaxed);
         let core = Core::new(settings.clone(), options.seed, clock.now());
         let (acted, looked_on) = (self.acted.clone(), counts.clone());
         note(gateway, script::version(&settings), &counts, &acted);
--- a/crates/scale/src/point.rs
+++ b/crates/scale/src/point.rs
@@ -546,10 +546,6 @@
         for worker in self.workers.into_iter().chain(self.stores).chain([self.list]) {
             worker.end().await;
         }
-        // Its logs stay only where something went wrong.
-        if ill.is_empty() {
-            _ = std::fs::remove_dir_all(&self.folder);
-        }
         ill
     }
 }
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -199,6 +199,10 @@
     if let Some(first) = lines.first_mut() {
         first.broken.extend(ill);
     }
+    // Its logs stay where something went wrong.
+    if lines.iter().all(|line| line.broken.is_empty()) {
+        _ = std::fs::remove_dir_all(setup.scratch.join(name));
+    }
     Ok(lines)
 }
 
