--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -9,7 +9,7 @@
 use umbertray_scale::plan::{Limits, Plan, demand};
 use umbertray_scale::point::{Line, Setup};
 use umbertray_scale::report::Out;
-use umbertray_scale::sweep::{Factor, once, sweep};
+use umbertray_scale::sweep::{Factor, once, refit, sweep};
 
 use crate::{output, serve};
 
@@ -49,6 +49,9 @@
     /// How often each size of a sweep is measured.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u32).range(1..=100))]
     repeats: u32,
+    /// Runs nothing: works out fits and charts anew from the lines in `--out`.
+    #[arg(long, requires = "out", conflicts_with_all = ["factors", "moments"])]
+    refit: bool,
     /// Fails where a change was in force later than this at any gateway.
     #[arg(long, value_name = "SECONDS")]
     most_in_force: Option<f64>,
@@ -109,6 +112,12 @@
 }
 
 async fn measure(arguments: &Arguments) -> Result<Vec<String>, ScaleError> {
+    if let Some(folder) = arguments.out.as_deref().filter(|_| arguments.refit) {
+        let out = Out::open(folder)?;
+        let lines = out.kept().map_err(|error| ScaleError::Io { what: "--out".into(), error })?;
+        out.slopes(&refit(&lines))?;
+        return Ok(Vec::new());
+    }
     let plan = arguments.plan();
     let limits = Limits::here();
     // A sweep's own plans are smaller, and looked at before the first of them.
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -12,7 +12,7 @@
 
 use crate::ScaleError;
 use crate::plan::Refused;
-use crate::point::load;
+use crate::point::{Line, load};
 use crate::sweep::Slope;
 
 /// The folder of a run's results.
@@ -34,6 +34,12 @@
         }
     }
 
+    /// The lines that are kept there; moments, which are no lines, are left out.
+    pub fn kept(&self) -> io::Result<Vec<Line>> {
+        let text = std::fs::read_to_string(self.folder.join("lines.jsonl"))?;
+        Ok(text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect())
+    }
+
     /// Keeps a line or a moment.
     pub fn line(&mut self, line: &impl Serialize) -> io::Result<()> {
         let mut text = serde_json::to_vec(line)?;
@@ -77,9 +83,11 @@
     }
 }
 
-const DRAWN: [&str; 6] = [
+const DRAWN: [&str; 8] = [
     "gateway, core",
     "gateway, memory",
+    "real gateway, core",
+    "real gateway, memory",
     "gateway, control",
     "all gateways, core",
     "all gateways, memory",
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -127,7 +127,7 @@
 }
 
 /// What has a slope in each factor. Of gateways (hollow ones), each one's share where it is not said to be of all.
-pub const FIGURES: [Figure; 18] = [
+pub const FIGURES: [Figure; 21] = [
     figure!("gateway, core", "% of a core", None, |line| Some(line.idle_core_percent)),
     figure!("gateway, memory", "MB", None, |line| Some(line.rss_mb)),
     figure!("gateway, control", "B/s", None, |line| Some(line.control_bytes_per_second)),
@@ -143,6 +143,9 @@
     figure!("in force, median", "s", None, |line| line.in_force_seconds.map(|spans| spans.p50)),
     figure!("in force, 99 of 100", "s", None, |line| line.in_force_seconds.map(|spans| spans.p99)),
     figure!("in force, longest", "s", None, |line| line.in_force_seconds.map(|spans| spans.max)),
+    figure!("real gateway, core", "% of a core", Some(Role::Gateway), |line| Some(line.idle_core_percent)),
+    figure!("real gateway, memory", "MB", Some(Role::Gateway), |line| Some(line.rss_mb)),
+    figure!("all stores, core", "% of a core", Some(Role::Store), |line| Some(line.idle_core_percent)),
     figure!("list, core", "% of a core", Some(Role::List), |line| Some(line.idle_core_percent)),
     figure!("list, memory", "MB", Some(Role::List), |line| Some(line.rss_mb)),
     figure!("list, control", "B/s", Some(Role::List), |line| Some(line.control_bytes_per_second)),
@@ -168,6 +171,15 @@
     FIGURES.iter().filter_map(|figure| slope(factor, figure, lines)).collect()
 }
 
+/// The slopes of all factors, from lines that a sweep kept.
+pub fn refit(lines: &[Line]) -> Vec<Slope> {
+    let of = |factor: Factor| {
+        let own = |line: &&Line| line.point.split_once('=').is_some_and(|(name, _)| name == factor.name());
+        lines.iter().filter(own).cloned().collect::<Vec<_>>()
+    };
+    FACTORS.iter().flat_map(|(_, factor)| slopes(*factor, &of(*factor))).collect()
+}
+
 fn slope(factor: Factor, figure: &Figure, lines: &[Line]) -> Option<Slope> {
     let own = lines.iter().filter(|line| line.role == figure.role);
     let points: Vec<(f64, f64)> =
--- a/crates/scale/tests/fits.rs
+++ b/crates/scale/tests/fits.rs
@@ -4,7 +4,8 @@
 
 use umbertray_scale::fit::{Fit, HeldOut, Quantiles, Spread};
 use umbertray_scale::hollow::Acted;
-use umbertray_scale::point::spans;
+use umbertray_scale::point::{Line, spans};
+use umbertray_scale::sweep::refit;
 
 fn line(intercept: f64, slope: f64, counts: &[f64]) -> Vec<(f64, f64)> {
     counts.iter().map(|count| (*count, intercept + slope * count)).collect()
@@ -103,3 +104,40 @@
     near(spans.p50, 0.2);
     near(spans.max, 0.5);
 }
+
+/// A line as a sweep keeps it, of hollow gateways.
+fn kept(point: &str, repeat: u32, stores: u32, core: f64) -> Line {
+    serde_json::from_value(serde_json::json!({
+        "point": point, "repeat": repeat, "gateways": 4, "stores": stores, "answering": 0, "volumes": 1,
+        "hollow": 4, "processes": 1, "seconds": 1.0, "changes_per_second": 0.0, "restarts_per_hour": 0.0,
+        "start_seconds": 0.0, "start_bytes": 0.0, "idle_core_percent": core, "rss_mb": 0.0,
+        "rss_total_mb": 0.0, "control_bytes_per_second": 0.0, "list_bytes_per_second": 0.0,
+        "link_bytes_per_second": 0.0, "turns_per_second": 0.0, "changes": 0, "restarts": 0, "load": 0.0,
+        "broken": [],
+    }))
+    .expect("a line")
+}
+
+#[test]
+fn slopes_are_of_medians_and_of_what_was_there_to_measure() {
+    let mut lines = Vec::new();
+    for (number, stores) in [250, 500, 1000, 2000, 4000].into_iter().enumerate() {
+        for (repeat, off) in [-0.5, 0.0, 9.0].into_iter().enumerate() {
+            let core = 2.0 + f64::from(stores) / 1000.0 + off;
+            lines.push(kept(&format!("stores={number}"), repeat as u32, stores, core));
+        }
+    }
+    // Of another sweep, and of a single size.
+    lines.push(kept("gateways=0", 0, 9, 1.0));
+    lines.push(kept("one", 0, 9, 1.0));
+    let slopes = refit(&lines);
+    let names: Vec<&str> = slopes.iter().map(|slope| slope.figure.as_str()).collect();
+    assert_eq!(names, ["gateway, core", "all gateways, core"]);
+    near(slopes[0].fit.intercept, 2.0);
+    near(slopes[0].fit.slope, 0.001);
+    assert_eq!(slopes[0].sizes.len(), 5);
+    let (count, spread) = slopes[0].sizes[4];
+    assert_eq!((count, spread.least, spread.median, spread.most), (4000.0, 5.5, 6.0, 15.0));
+    near(slopes[0].held_out.foretold, 6.0);
+    near(slopes[1].fit.slope, 0.004);
+}
