--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -9,7 +9,7 @@
 use umbertray_scale::plan::{Limits, Plan, demand};
 use umbertray_scale::point::{Line, Setup};
 use umbertray_scale::report::Out;
-use umbertray_scale::sweep::{Factor, once, sweep};
+use umbertray_scale::sweep::{Factor, once, refit, sweep};
 
 use crate::{output, serve};
 
@@ -49,6 +49,9 @@
     /// How often each size of a sweep is measured.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u32).range(1..=100))]
     repeats: u32,
+    /// Runs nothing: works out fits and charts anew from the lines in `--out`.
+    #[arg(long, requires = "out", conflicts_with_all = ["factors", "moments"])]
+    refit: bool,
     /// Fails where a change was in force later than this at any gateway.
     #[arg(long, value_name = "SECONDS")]
     most_in_force: Option<f64>,
@@ -60,7 +63,7 @@
     out: Option<PathBuf>,
 }
 
-/// A folder of this run's own, gone with it.
+/// A folder of this run's own, gone with it unless there is something to be read in it.
 struct Scratch(PathBuf);
 
 impl Drop for Scratch {
@@ -69,6 +72,13 @@
     }
 }
 
+impl Scratch {
+    fn keep(mut self) {
+        let folder = std::mem::take(&mut self.0);
+        tracing::warn!(folder = %folder.display(), "logs are kept there");
+    }
+}
+
 impl Arguments {
     fn plan(&self) -> Plan {
         Plan {
@@ -102,6 +112,12 @@
 }
 
 async fn measure(arguments: &Arguments) -> Result<Vec<String>, ScaleError> {
+    if let Some(folder) = arguments.out.as_deref().filter(|_| arguments.refit) {
+        let out = Out::open(folder)?;
+        let lines = out.kept().map_err(|error| ScaleError::Io { what: "--out".into(), error })?;
+        out.slopes(&refit(&lines))?;
+        return Ok(Vec::new());
+    }
     let plan = arguments.plan();
     let limits = Limits::here();
     // A sweep's own plans are smaller, and looked at before the first of them.
@@ -119,6 +135,23 @@
     let scratch = std::env::temp_dir().join(format!("umbertray-scale-{}", std::process::id()));
     let scratch = Scratch(scratch);
     let setup = Setup { program, scratch: scratch.0.clone(), limits };
+    match bring_on(arguments, &plan, &setup, out.as_mut()).await {
+        Ok(unkept) if unkept.is_empty() => Ok(unkept),
+        ended => {
+            scratch.keep();
+            ended
+        }
+    }
+}
+
+/// Runs what is asked for; what did not hold.
+async fn bring_on(
+    arguments: &Arguments,
+    plan: &Plan,
+    setup: &Setup,
+    mut out: Option<&mut Out>,
+) -> Result<Vec<String>, ScaleError> {
+    let failed = |what: &str, error| ScaleError::Io { what: what.into(), error };
     let mut unkept = Vec::new();
     let mut unwritten = None;
     let mut each = |line: &Line| {
@@ -128,7 +161,7 @@
         unwritten = unwritten.take().or(written.err());
     };
     if arguments.moments {
-        moments(&plan, &setup, &mut |moment| {
+        moments(plan, setup, &mut |moment| {
             unkept.extend(moment.broken.iter().map(|why| format!("{}: {why}", moment.moment)));
             output::print_line(&serde_json::to_string(moment).unwrap_or_default());
             let written = out.as_mut().map_or(Ok(()), |out| out.line(moment));
@@ -136,9 +169,9 @@
         })
         .await?;
     } else if arguments.factors.is_empty() {
-        once(&plan, &setup, "one", 0).await?.iter().for_each(&mut each);
+        once(plan, setup, "one", 0).await?.iter().for_each(&mut each);
     } else {
-        let slopes = sweep(&arguments.factors, &plan, arguments.repeats, &setup, &mut each).await?;
+        let slopes = sweep(&arguments.factors, plan, arguments.repeats, setup, &mut each).await?;
         output::print(&format!("{}\n", serde_json::json!({ "slopes": slopes })));
         for slope in slopes.iter().filter(|slope| !slope.held_out.understood()) {
             let (factor, error) = (slope.factor.name(), slope.held_out.error * 100.0);
