--- /dev/null
+++ b/crates/store-wire/tests/sizes.rs
@@ -0,0 +1,98 @@
+//! The bytes that docs/CAPACITY.md counts with are those of the codec: its table of sizes is read, not copied.
+
+use bytes::Bytes;
+use umbertray_store_wire::Message;
+use umbertray_store_wire::list::{Entry, FromList, Place, State, ToList};
+use umbertray_store_wire::store::{Answer, Code, Dispatch, FromStore, ToStore, Work};
+
+const PAGE: &str = include_str!("../../../docs/CAPACITY.md");
+
+/// The figure in the second cell of the row of that name.
+fn page(name: &str) -> usize {
+    let row = PAGE.lines().find_map(|line| line.strip_prefix(&format!("| {name} | ")));
+    let cell = row.and_then(|rest| rest.split(" | ").next()).unwrap_or_else(|| panic!("no row {name:?}"));
+    cell.replace(',', "").parse().unwrap_or_else(|_| panic!("{name:?} has {cell:?}"))
+}
+
+/// A store at an address as long as private networks mostly have.
+fn entry(store: u64, age: Option<u64>) -> Entry {
+    let address = format!("10.{}.{}.10:7000", 100 + store / 250 % 100, 100 + store % 100);
+    let address = address.parse().expect("an address");
+    Entry {
+        store,
+        address,
+        shard: store as u32,
+        zone: (store % 6) as u32,
+        state: State::Ready,
+        start: 3,
+        age,
+    }
+}
+
+fn dispatch(work: Work, data: Bytes) -> ToStore {
+    let (number, op, volume, extent, epoch) = (1, 2, 3, 4, 0);
+    let (offset, length, units, not_after, voids) = (0, 4096, 1.0, 9, Vec::new());
+    let durable = false;
+    let fields = Dispatch {
+        number,
+        op,
+        volume,
+        extent,
+        epoch,
+        work,
+        offset,
+        length,
+        units,
+        not_after,
+        voids,
+        durable,
+        data,
+    };
+    ToStore::Dispatch(fields)
+}
+
+#[test]
+fn the_list_has_the_bytes_that_the_page_counts_with() {
+    let warm = page("entry of the list, store wire, warm store");
+    let (head, cold) =
+        (page("head of a list, store wire"), page("entry of the list, store wire, cold store"));
+    let list = |count| FromList::Full((0..count).map(|store| entry(store, None)).collect()).frame().len();
+    assert_eq!([list(0), list(1), list(4000)], [head, head + warm, head + 4000 * warm]);
+    assert_eq!(list(4000), page("whole list of 4,000 stores, store wire"));
+    assert_eq!(FromList::Changes(vec![entry(7, Some(5))]).frame().len(), head + cold);
+}
+
+#[test]
+fn questions_of_the_map_have_the_bytes_that_the_page_counts_with() {
+    let (token, volume, extent) = (1, 2, 3);
+    let place = Some(Place { shard: 4, epoch: 5 });
+    assert_eq!(ToList::Lookup { token, volume, extent, least: 0 }.frame().len(), page("lookup"));
+    assert_eq!(ToList::Claim { token, volume, extent, shard: 4 }.frame().len(), page("claim"));
+    assert_eq!(FromList::Place { token, place }.frame().len(), page("place"));
+    assert_eq!(ToList::Hello { run: 1 }.frame().len(), page("hello"));
+    assert_eq!(FromList::Welcome { term: 1 }.frame().len(), page("welcome of list or keeper"));
+}
+
+#[test]
+fn a_link_to_a_store_has_the_bytes_that_the_page_counts_with() {
+    let clock = 1;
+    assert_eq!(ToStore::Hello { run: 1 }.frame().len(), page("hello"));
+    assert_eq!(FromStore::Welcome { store: 1, shard: 2, clock }.frame().len(), page("welcome of a store"));
+    assert_eq!(ToStore::Probe { token: 0 }.frame().len(), page("sign of life, asked"));
+    let probed = FromStore::Probed { token: 0, clock, report: Vec::new() };
+    assert_eq!(probed.frame().len(), page("sign of life, told, without a report"));
+    assert_eq!(dispatch(Work::Read, Bytes::new()).frame().len(), page("dispatch without its data"));
+    let data = Bytes::from(vec![0; 4096]);
+    assert_eq!(dispatch(Work::Write, data).frame().len(), page("dispatch without its data") + 4096);
+    let answer = Answer {
+        number: 1,
+        code: Ok(Code::Acked),
+        clock,
+        epoch: 0,
+        used: Some(0.5),
+        elsewhere: 0.0,
+        report: Vec::new(),
+        stretches: Vec::new(),
+    };
+    assert_eq!(FromStore::Answer(answer).frame().len(), page("answer without a report"));
+}
--- /dev/null
+++ b/crates/versions/tests/sizes.rs
@@ -0,0 +1,70 @@
+//! The bytes of a change and of a checkpoint that docs/CAPACITY.md counts with are those that the log writes.
+
+use std::collections::VecDeque;
+
+use serde_json::json;
+use umbertray_state::Layer;
+use umbertray_state::sim::SimDisk;
+use umbertray_versions::change::Change;
+use umbertray_versions::log::{GROWN, Log};
+use umbertray_versions::model::{Configuration, Edit, Key, Kind};
+
+const PAGE: &str = include_str!("../../../docs/CAPACITY.md");
+
+/// The figure in the second cell of the row of that name.
+fn page(name: &str) -> usize {
+    let row = PAGE.lines().find_map(|line| line.strip_prefix(&format!("| {name} | ")));
+    let cell = row.and_then(|rest| rest.split(" | ").next()).unwrap_or_else(|| panic!("no row {name:?}"));
+    cell.replace(',', "").parse().unwrap_or_else(|_| panic!("{name:?} has {cell:?}"))
+}
+
+fn configuration(volumes: usize) -> Configuration {
+    let script = format!(
+        r#"
+gateway(listen = ["127.0.0.1:0"], list = "127.0.0.1:1")
+op_type("get", target_latency = 0.5, op_timeout = 3.0, utility = 2)
+request(["read", "status", "write", "zero", "trim", "flush"], op_type = "get")
+plan("basic", rate = 100)
+[volume("volume-%d" % (10000 + n), size = 64 * GiB, plan = "basic", gateways = 3) for n in range({volumes})]
+"#
+    );
+    let document = umbertray_config::read("start.star", script).expect("right");
+    Configuration::of_calls(&document.calls())
+}
+
+fn change(id: &str, base: u64, edits: Vec<Edit>) -> Change {
+    let (actor, reason) = ("operations".to_string(), "capacity".to_string());
+    Change { id: id.into(), base, actor, reason, at: 1_800_000_000_000_000, edits, allow: Vec::new() }
+}
+
+fn written(disk: &SimDisk) -> usize {
+    let names = disk.names().expect("there");
+    let logs = names.iter().filter(|name| name.ends_with(".log"));
+    logs.map(|name| disk.read(name, 1 << 30).expect("there").len()).sum()
+}
+
+/// One field set, with an id as the command line draws it. What it costs does not depend on how much is configured.
+#[test]
+fn a_change_of_one_field_has_the_bytes_that_the_page_counts_with() {
+    for volumes in [1, 100] {
+        let disk = SimDisk::default();
+        let mut log = Log::open(Box::new(disk.clone()), GROWN).expect("empty");
+        let edits = log.head().configuration.diff(&configuration(volumes));
+        log.commit(change("import", 0, edits)).expect("the first version");
+        let before = written(&disk);
+        let (key, field) = (Key::new(Kind::Plan, "basic"), "weight".to_string());
+        let edit = Edit::Set { key, field, value: json!(2.0) };
+        log.commit(change("1800000000000000000-12345", 1, vec![edit])).expect("a change");
+        assert_eq!(written(&disk) - before, page("entry of the log of changes, one field, and its marker"));
+    }
+}
+
+#[test]
+fn a_checkpoint_has_the_bytes_a_volume_that_the_page_counts_with() {
+    let bytes = |volumes| configuration(volumes).bytes().len();
+    assert_eq!((bytes(1100) - bytes(100)) / 1000, page("volume in a checkpoint of the log"));
+    let done: VecDeque<(String, u64, u64)> =
+        vec![("1800000000000000000-12345".into(), 4000, u64::MAX)].into();
+    let one = postcard::to_stdvec(&done).expect("plain").len() - 1;
+    assert_eq!(one, page("change done lately in a checkpoint"));
+}
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -58,7 +58,7 @@
 
 /// Gateways, and the crowd that they are to bear. A few know of most volumes, and no crowd is too large. Many
 /// rest on the plans' rates, and where each may send hardly an op, chance needs the more room.
-const FLEETS: [(usize, f64); 5] = [(1, 6.0), (3, 6.0), (20, 3.0), (30, 3.0), (300, 2.0)];
+const FLEETS: [(usize, f64); 6] = [(1, 6.0), (3, 6.0), (20, 3.0), (30, 3.0), (300, 2.0), (1700, 2.0)];
 const SEEDS: u64 = 3;
 /// Of what the store bears until it is warm, so much at least is used over all days.
 const USED: f64 = 0.4;
