--- a/deploy/capacity.py
+++ b/deploy/capacity.py
@@ -8,7 +8,7 @@
     python3 deploy/capacity.py keeper --places 1000 10000 100000
     python3 deploy/capacity.py changes --volumes 100 1000 10000
 
-Each prints one line of JSON a size: percent of a core and resident MB over --seconds (20) after --settle (5), bytes that
+UMBERTRAY names another build than target/release. Each prints one line of JSON a size: percent of a core and resident MB over --seconds (20) after --settle (5), bytes that
 crossed the scripted party's sockets meanwhile, and a last line with intercept, slope and largest residual. The processes it
 starts it ends by their ids.
 """
