Frames that carry the log of changes, and the interface of the node that carries it

The hash of the chain moves down to the wire's package, which the fleet stands on: fleet needs it and may not pull the script reader in with the package of versions. versions::chain gives it on under its old name.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod map;
 pub mod moves;
 mod ranges;
+pub mod relay;
 pub mod state;
 
 pub use core::{Core, Input, LinkId, Output};
--- /dev/null
+++ b/crates/fleet/src/relay/mod.rs
@@ -0,0 +1,258 @@
+//! How the log of changes gets from its folder to every gateway: a node of the tree that carries it, as a state machine
+//! without I/O, clock or chance of its own. Relays and gateways are the same node; a gateway has no followers.
+//!
+//! Danger, the invariant: a node acts on an entry, or adopts a checkpoint, only where as many of its upstreams as
+//! [`Origin::Upstreams::vouch`] says have told it the same hash at the same version (by chain, for an entry; with the same
+//! digest, for a checkpoint). The chain alone proves nothing of an entry that is new: whoever knows the newest hash can
+//! chain a forged change to it. So up to `vouch - 1` relays that lie, wherever they stand, can delay and do no more:
+//! the first honest node to act on what no writer wrote would have needed an honest one that did before it. docs/relays.md
+//! has the whole argument, the times and the bounds.
+
+mod node;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use umbertray_store_wire::changes::{FromUpstream, Position, Role, Sums, ToUpstream, Why};
+
+pub use node::Node;
+
+use crate::LinkId;
+
+/// The owner wakes a node this often.
+pub const TICK: Duration = Duration::from_millis(250);
+/// An upstream tells where it stands at each change, and at least this often.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+/// An upstream that has said nothing for so long, three heartbeats, is left.
+pub const SILENCE: Duration = Duration::from_secs(3);
+/// One that has not sent what others say is there, for so long, is not asked for entries any more.
+pub const LAG: Duration = Duration::from_secs(3);
+/// A connection that is not made in so long has failed.
+pub const CONNECT: Duration = Duration::from_secs(1);
+/// A follower that has said nothing for so long is gone, and counts no more in any sum: its lease.
+pub const LEASE: Duration = Duration::from_secs(10);
+/// Waits between attempts at one upstream: doubled from the first to the last, each drawn between half and the whole.
+pub const FIRST_WAIT: Duration = Duration::from_millis(500);
+pub const LAST_WAIT: Duration = Duration::from_secs(8);
+/// An upstream that was caught at another history, at nonsense or in a loop is left alone so long.
+pub const PUT_ASIDE: Duration = Duration::from_secs(60);
+/// Bytes of entries on the way to a follower, at most; one part of a change beyond it.
+pub const WINDOW: u32 = 256 << 10;
+/// Bytes and count of entries that a node holds for its followers, at most. Bytes are at least those of its checkpoint, which is
+/// what the log grows by before the next.
+pub const TAIL_BYTES: usize = 8 << 20;
+pub const TAIL_ENTRIES: usize = 65_536;
+/// Checkpoints that a node sends at once. The others are told when to come again.
+pub const FETCHES: usize = 8;
+
+/// Of a node above, as the configuration names it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Upstream {
+    pub name: String,
+    pub zone: String,
+}
+
+/// Where a node has the log from.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// The writer's folder, which its owner reads, and which is believed as a gateway believes it.
+    Folder,
+    Upstreams {
+        upstreams: Vec<Upstream>,
+        /// So many of them must say the same: one more than may lie.
+        vouch: usize,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    pub name: String,
+    pub zone: String,
+    pub role: Role,
+    pub origin: Origin,
+    /// Where its chance begins.
+    pub seed: u64,
+    /// Followers at once, at most; those beyond are refused.
+    pub most_followers: usize,
+}
+
+/// Why a configuration is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unsound {
+    #[error("the name {0:?} of a relay, gateway or zone is empty or over 128 bytes")]
+    Name(String),
+    #[error("{0:?} follows itself: take it out of its own upstreams")]
+    Itself(String),
+    #[error("the upstream {0:?} is named twice: one relay would vouch for itself")]
+    Twice(String),
+    #[error("vouch = {vouch} with {upstreams} upstreams: name at least so many, and ask for at least 1")]
+    Vouch { vouch: usize, upstreams: usize },
+}
+
+/// A change in its place, its hash checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    pub at: Position,
+    pub body: Bytes,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Of an [`Origin::Folder`]: the newest segment's checkpoint, at the start and where one is begun.
+    FolderCheckpoint {
+        at: Position,
+        bytes: Bytes,
+    },
+    /// Of an [`Origin::Folder`]: what came after what it had told, safe and its chain checked.
+    FolderEntries(Vec<Entry>),
+    /// A connection that [`Action::Connect`] asked for is there, the node's turn to speak.
+    Opened(LinkId),
+    /// It could not be made, or has ended.
+    Closed(LinkId),
+    Heard {
+        link: LinkId,
+        frame: FromUpstream,
+    },
+    /// A follower has connected, under an id that is not one of [`Action::Connect`]'s: those have the top bit.
+    Accepted(LinkId),
+    Left(LinkId),
+    Asked {
+        link: LinkId,
+        frame: ToUpstream,
+    },
+    /// The owner has put in force what it was given up to here; nothing counts as acted on before.
+    InForce(u64),
+    /// [`TICK`] is over.
+    Woken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Connect to the upstream of this place in the configuration; the answer is `Opened` or `Closed`.
+    Connect {
+        upstream: usize,
+        link: LinkId,
+    },
+    /// End this connection, whoever opened it, once all said before has been sent or [`HEARTBEAT`] is over. Nothing more
+    /// is heard of it.
+    Close {
+        link: LinkId,
+        why: Left,
+    },
+    Tell {
+        link: LinkId,
+        frame: ToUpstream,
+    },
+    Say {
+        link: LinkId,
+        frame: FromUpstream,
+    },
+    /// The state is this. Given first, and where the log has gone on further than its tail is held.
+    Adopt {
+        at: Position,
+        checkpoint: Bytes,
+    },
+    /// The next change after what was adopted or acted on. Danger: a gateway writes the position down before it acts.
+    Act(Entry),
+    /// For the log.
+    Note(Note),
+}
+
+/// Why a connection is ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Left {
+    #[error("silent for too long")]
+    Silent,
+    #[error("not connected in time")]
+    NotConnected,
+    #[error("an entry does not follow on the one before")]
+    Broken,
+    #[error("its history is not the one acted on")]
+    Fork,
+    #[error("it is this node itself, or is below it: a loop")]
+    Loop,
+    #[error("it calls itself by another name than the configuration")]
+    Stranger,
+    #[error("it sent what makes no sense at that point")]
+    Nonsense,
+    #[error("more than was asked for")]
+    Flood,
+    #[error("it refused: {0:?}")]
+    Refused(Why),
+    #[error("as many followers as are taken")]
+    Full,
+    #[error("not needed any more")]
+    Spare,
+}
+
+/// One line of the log for each decision that a person would ask about.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// Entries are taken from this upstream from now on.
+    Follows {
+        upstream: String,
+        after: Position,
+    },
+    /// An upstream was left, and is tried again after the wait.
+    Left {
+        upstream: String,
+        why: Left,
+        wait: Duration,
+    },
+    /// A loop, by the path that the upstream told.
+    Loop {
+        upstream: String,
+        path: Vec<String>,
+    },
+    /// Two of the upstreams tell different histories: one of them lies, or follows another log.
+    Disagree {
+        upstream: String,
+        version: u64,
+    },
+    /// More than one checkpoint is told of, none by enough upstreams.
+    Unvouched {
+        version: u64,
+    },
+    Adopted {
+        at: Position,
+        from: String,
+    },
+    /// A follower fell out of the tail and needs a checkpoint.
+    Behind {
+        follower: String,
+        after: u64,
+    },
+    FollowerLeft {
+        follower: String,
+        why: Left,
+    },
+    /// A follower's sums make no sense and are left out; said once a connection.
+    Nonsense {
+        follower: String,
+        what: &'static str,
+    },
+    /// The log has outgrown what is held since its checkpoint: a new follower waits for the next.
+    Outgrown {
+        version: u64,
+    },
+}
+
+/// What an operator asks a node for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    pub head: Position,
+    pub checkpoint: Option<u64>,
+    /// The oldest version that a follower can go on from.
+    pub from: u64,
+    /// Names of the relays that entries come by.
+    pub path: Vec<String>,
+    pub followed: Option<String>,
+    /// Upstreams that are connected.
+    pub linked: Vec<String>,
+    pub followers: usize,
+    pub held_entries: usize,
+    pub held_bytes: usize,
+    /// Gateways below and what they have acted on. Those of relays that read the folder add up to the fleet: each member is
+    /// counted at the one that it follows.
+    pub sums: Sums,
+}
--- a/crates/store-wire/src/lib.rs
+++ b/crates/store-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! A frame is a length (u32, of what follows), a kind (u8) and the kind's fields; numbers are big-endian. Nothing
 //! here opens a socket: [`next_frame`] takes frames off a buffer, [`Message::put`] writes them.
 
+pub mod changes;
 mod fields;
 pub mod list;
 pub mod orders;
--- a/crates/versions/src/chain.rs
+++ b/crates/versions/src/chain.rs
@@ -9,14 +9,12 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 use umbertray_state::Layer;
 use umbertray_state::format::{MOST_FILE, next, record};
+pub use umbertray_store_wire::changes::{Hash, chained};
 
 pub const VERSION: u16 = 1;
 
-pub type Hash = [u8; 32];
-
 /// A change's id, its version, and what tells it from another of that id.
 pub type Done = (String, u64, u64);
 
@@ -114,10 +112,6 @@
     Disk(#[from] io::Error),
 }
 
-pub fn chained(before: &Hash, body: &[u8]) -> Hash {
-    Sha256::new().chain_update(before).chain_update(body).finalize().into()
-}
-
 /// Reads a segment as its bytes come; it stops where a record is not whole.
 #[derive(Clone, Debug)]
 pub struct Reader {
