--- a/crates/fleet/src/relay/mod.rs
+++ b/crates/fleet/src/relay/mod.rs
@@ -105,7 +105,7 @@
     },
     /// Of an [`Origin::Folder`]: what came after what it had told, safe and its chain checked.
     FolderEntries(Vec<Entry>),
-    /// A connection that [`Action::Connect`] asked for is there, the node's turn to speak.
+    /// A connection that [`Action::Connect`] asked for is there; the node speaks first.
     Opened(LinkId),
     /// It could not be made, or has ended.
     Closed(LinkId),
@@ -120,7 +120,7 @@
         link: LinkId,
         frame: ToUpstream,
     },
-    /// The owner has put in force what it was given up to here; nothing counts as acted on before.
+    /// What [`Action::Enforce`] told is in force up to here; it counts as acted on from now.
     InForce(u64),
     /// [`TICK`] is over.
     Woken,
--- a/crates/store-wire/src/changes.rs
+++ b/crates/store-wire/src/changes.rs
@@ -101,10 +101,8 @@
 pub enum ToUpstream {
     /// The first frame.
     Hello { name: String, zone: String, role: Role },
-    /// Entries after this are wanted, from now on.
+    /// Entries after this are wanted, from now on; once a connection.
     Follow { after: Position },
-    /// No more entries; the newest version is still to be told.
-    Unfollow,
     /// The checkpoint's bytes from here on, a part of them.
     Fetch { version: u64, offset: u32 },
     /// So many bytes of entries were taken off the connection since this was last said: as many more may be sent.
@@ -140,8 +138,8 @@
     Hello { name: String, path: Vec<String> },
     /// The path has changed.
     Path(Vec<String>),
-    /// What it has acted on, at each change and as a sign of life; the oldest version that it can send entries after; and the
-    /// checkpoint that it has.
+    /// What it has acted on; the oldest version that it can send entries after; and the checkpoint that it has. Told where
+    /// one of them has changed.
     At { head: Position, from: u64, checkpoint: Option<Checkpoint> },
     /// A part of a change: all of it, but for long ones. The parts of one follow each other.
     Entry { at: Position, length: u32, offset: u32, part: Bytes },
@@ -151,6 +149,8 @@
     Later { after: Duration },
     /// The connection ends.
     Refused { why: Why },
+    /// A sign of life: what was told last still holds.
+    Same,
 }
 
 fn name(fields: &mut Reader) -> Result<String, Malformed> {
@@ -232,11 +232,10 @@
         match self {
             ToUpstream::Hello { .. } => 33,
             ToUpstream::Follow { .. } => 34,
-            ToUpstream::Unfollow => 35,
-            ToUpstream::Fetch { .. } => 36,
-            ToUpstream::Taken { .. } => 37,
-            ToUpstream::Acted(_) => 38,
-            ToUpstream::Ping => 39,
+            ToUpstream::Fetch { .. } => 35,
+            ToUpstream::Taken { .. } => 36,
+            ToUpstream::Acted(_) => 37,
+            ToUpstream::Ping => 38,
         }
     }
 
@@ -250,7 +249,7 @@
                 out.put_u8(*role as u8);
             }
             ToUpstream::Follow { after } => put_position(out, after),
-            ToUpstream::Unfollow | ToUpstream::Ping => {}
+            ToUpstream::Ping => {}
             ToUpstream::Fetch { version, offset } => {
                 out.put_u64(*version);
                 out.put_u32(*offset);
@@ -273,11 +272,10 @@
                 ToUpstream::Hello { name, zone, role }
             }
             34 => ToUpstream::Follow { after: position(fields)? },
-            35 => ToUpstream::Unfollow,
-            36 => ToUpstream::Fetch { version: fields.u64()?, offset: fields.u32()? },
-            37 => ToUpstream::Taken { bytes: fields.u32()? },
-            38 => ToUpstream::Acted(Sums::read(fields)?),
-            39 => ToUpstream::Ping,
+            35 => ToUpstream::Fetch { version: fields.u64()?, offset: fields.u32()? },
+            36 => ToUpstream::Taken { bytes: fields.u32()? },
+            37 => ToUpstream::Acted(Sums::read(fields)?),
+            38 => ToUpstream::Ping,
             _ => return Err(fields.unknown()),
         })
     }
@@ -293,6 +291,7 @@
             FromUpstream::Part { .. } => 101,
             FromUpstream::Later { .. } => 102,
             FromUpstream::Refused { .. } => 103,
+            FromUpstream::Same => 104,
         }
     }
 
@@ -326,6 +325,7 @@
             }
             FromUpstream::Later { after } => out.put_u32(after.as_millis() as u32),
             FromUpstream::Refused { why } => out.put_u8(*why as u8),
+            FromUpstream::Same => {}
         }
     }
 
@@ -371,6 +371,7 @@
                 let why = Why::ALL.get(usize::from(code)).copied();
                 FromUpstream::Refused { why: why.ok_or_else(|| fields.bad("why", code.into()))? }
             }
+            104 => FromUpstream::Same,
             _ => return Err(fields.unknown()),
         })
     }
