Bound every direction's frames for itself; frames of the log of changes, there and back

The reader took any frame up to 32 MiB whatever the direction; those of changes are bounded by a part and the longest sums. Malformed::Long names the bound, and its test asks for it.

--- a/crates/store-wire/src/changes.rs
+++ b/crates/store-wire/src/changes.rs
@@ -20,6 +20,8 @@
 pub const MOST_BODY: u32 = 32 << 20;
 /// Bytes of a checkpoint, at most: a record of the log's files is no longer.
 pub const MOST_CHECKPOINT: u32 = 64 << 20;
+/// Bytes of any frame, at most: a part, or a sum with all its names.
+pub const MOST_FRAME: u32 = PART as u32 + (8 << 10);
 /// Bytes of a name or a zone, at most.
 pub const MOST_NAME: usize = 128;
 /// Relays from the log's folder to a follower, at most.
@@ -232,6 +234,8 @@
 }
 
 impl Message for ToUpstream {
+    const MOST: u32 = MOST_FRAME;
+
     fn kind(&self) -> u8 {
         match self {
             ToUpstream::Hello { .. } => 33,
@@ -289,6 +293,8 @@
 }
 
 impl Message for FromUpstream {
+    const MOST: u32 = MOST_FRAME;
+
     fn kind(&self) -> u8 {
         match self {
             FromUpstream::Hello { .. } => 97,
--- a/crates/store-wire/src/lib.rs
+++ b/crates/store-wire/src/lib.rs
@@ -24,8 +24,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Malformed {
-    #[error("a frame of {0} bytes, over the bound of {MAX_FRAME}")]
-    Long(u32),
+    #[error("a frame of {length} bytes, over the bound of {most}")]
+    Long { length: u32, most: u32 },
     #[error("an empty frame")]
     Empty,
     #[error("unknown kind {0} of frame")]
@@ -42,6 +42,9 @@
 
 /// A message of one direction of a connection.
 pub trait Message: Sized {
+    /// No frame of this direction is longer, bytes.
+    const MOST: u32 = MAX_FRAME;
+
     fn kind(&self) -> u8;
     fn put_fields(&self, out: &mut BytesMut);
     fn read(kind: u8, fields: &mut Reader) -> Result<Self, Malformed>;
@@ -78,8 +81,8 @@
     let length = head.get_u32();
     match length {
         0 => return Err(Malformed::Empty),
-        1..=MAX_FRAME => {}
-        _ => return Err(Malformed::Long(length)),
+        _ if length <= M::MOST => {}
+        _ => return Err(Malformed::Long { length, most: M::MOST }),
     }
     if input.len() < 4 + length as usize {
         return Ok(None);
--- a/crates/store-wire/tests/frames.rs
+++ b/crates/store-wire/tests/frames.rs
@@ -2,10 +2,14 @@
 
 use bytes::{Bytes, BytesMut};
 use quickcheck::{Gen, QuickCheck};
+use umbertray_store_wire::changes::{
+    Behind, Checkpoint, FromUpstream, Level, MOST_BEHIND, MOST_BODY, MOST_CHECKPOINT, MOST_FRAME,
+    MOST_LEVELS, MOST_NAME, MOST_PATH, MOST_WAIT, PART, Position, Role, Sums, ToUpstream, Why,
+};
 use umbertray_store_wire::list::{Entry, FromList, Place, State, ToList};
 use umbertray_store_wire::orders::{Content, Mark, Order, PAGE, Reply, Span};
 use umbertray_store_wire::store::{Answer, Code, Dispatch, FromStore, Stretch, ToStore, Work};
-use umbertray_store_wire::{Malformed, Message, next_frame};
+use umbertray_store_wire::{MAX_FRAME, Malformed, Message, next_frame};
 
 fn dispatch() -> Dispatch {
     Dispatch {
@@ -172,7 +176,7 @@
 fn wrong_frames_are_named() {
     let read = |bytes: &[u8]| next_frame::<ToStore>(&mut BytesMut::from(bytes)).unwrap_err();
     assert_eq!(read(&[0; 4]), Malformed::Empty);
-    assert_eq!(read(&[255; 4]), Malformed::Long(u32::MAX));
+    assert_eq!(read(&[255; 4]), Malformed::Long { length: u32::MAX, most: MAX_FRAME });
     assert_eq!(read(&[0, 0, 0, 1, 99]), Malformed::Kind(99));
     assert_eq!(read(&[0, 0, 0, 2, 3, 0]), Malformed::Truncated { kind: 3 });
     let mut long = ToStore::Cancel { number: 1 }.frame().to_vec();
@@ -192,13 +196,15 @@
 fn no_bytes_panic() {
     fn survives(kind: u8, noise: Vec<u8>) -> bool {
         let mut frame = ((noise.len() + 1) as u32).to_be_bytes().to_vec();
-        frame.push(kind % 80);
+        frame.push(kind % 110);
         frame.extend(noise);
         let copy = || BytesMut::from(&frame[..]);
         _ = next_frame::<ToStore>(&mut copy());
         _ = next_frame::<FromStore>(&mut copy());
         _ = next_frame::<ToList>(&mut copy());
         _ = next_frame::<FromList>(&mut copy());
+        _ = next_frame::<ToUpstream>(&mut copy());
+        _ = next_frame::<FromUpstream>(&mut copy());
         true
     }
     QuickCheck::new()
@@ -206,3 +212,113 @@
         .tests(2000)
         .quickcheck(survives as fn(u8, Vec<u8>) -> bool);
 }
+
+const AT: Position = Position { version: 7, hash: [5; 32] };
+
+fn checkpoint() -> Checkpoint {
+    Checkpoint { at: AT, digest: [6; 32], length: 9 }
+}
+
+#[test]
+fn frames_of_the_log_of_changes_come_back_as_they_went() {
+    let name = || "relay-1".to_string();
+    let behind = Behind { name: name(), version: 6, since: 5 };
+    let sums = Sums { levels: vec![Level { version: 7, members: 3 }], behind: vec![behind] };
+    round(&[
+        ToUpstream::Hello { name: name(), zone: "a".into(), role: Role::Gateway },
+        ToUpstream::Follow { after: AT },
+        ToUpstream::Ask { version: 3 },
+        ToUpstream::Fetch { version: 7, offset: 65536 },
+        ToUpstream::Taken { bytes: 9 },
+        ToUpstream::Acted(sums.clone()),
+        ToUpstream::Ping,
+    ]);
+    assert_eq!(ToUpstream::read_back(&ToUpstream::Acted(sums.clone())), ToUpstream::Acted(sums));
+    let part = Bytes::from_static(b"part");
+    let all = [
+        FromUpstream::Hello { name: name(), path: vec!["top".into(), name()] },
+        FromUpstream::Path(vec![name()]),
+        FromUpstream::At { head: AT, from: 3, checkpoint: Some(checkpoint()) },
+        FromUpstream::At { head: Position::START, from: 0, checkpoint: None },
+        FromUpstream::Had { at: AT },
+        FromUpstream::Entry { at: AT, length: 9, offset: 2, part: part.clone() },
+        FromUpstream::Part { version: 7, offset: 3, part },
+        FromUpstream::Later { after: MOST_WAIT },
+        FromUpstream::Refused { why: Why::Loop },
+        FromUpstream::Same,
+    ];
+    round(&all);
+    all.iter().for_each(|message| assert_eq!(&FromUpstream::read_back(message), message));
+}
+
+/// A change of these bytes is a change of version.
+#[test]
+fn the_bytes_of_where_an_upstream_stands() {
+    let frame = FromUpstream::At { head: AT, from: 3, checkpoint: Some(checkpoint()) }.frame();
+    let mut wanted = vec![0, 0, 0, 126, 99];
+    wanted.extend(7u64.to_be_bytes());
+    wanted.extend([5; 32]);
+    wanted.extend(3u64.to_be_bytes());
+    wanted.push(1);
+    wanted.extend(7u64.to_be_bytes());
+    wanted.extend([5; 32]);
+    wanted.extend([6; 32]);
+    wanted.extend(9u32.to_be_bytes());
+    assert_eq!(frame, wanted);
+    assert_eq!(FromUpstream::Same.frame(), [0, 0, 0, 1, 104][..]);
+}
+
+#[test]
+fn frames_of_the_log_of_changes_keep_their_bounds() {
+    let up =
+        |frame: ToUpstream| next_frame::<ToUpstream>(&mut BytesMut::from(&frame.frame()[..])).unwrap_err();
+    let down = |frame: FromUpstream| {
+        next_frame::<FromUpstream>(&mut BytesMut::from(&frame.frame()[..])).unwrap_err()
+    };
+    let value = |error: Malformed| match error {
+        Malformed::Value { field, .. } => field,
+        other => panic!("{other}"),
+    };
+    let long = "n".repeat(MOST_NAME + 1);
+    let hello = |name: &str| ToUpstream::Hello { name: name.into(), zone: "a".into(), role: Role::Relay };
+    assert_eq!(value(up(hello(&long))), "name");
+    let levels = vec![Level { version: 1, members: 1 }; MOST_LEVELS + 1];
+    assert_eq!(value(up(ToUpstream::Acted(Sums { levels, behind: vec![] }))), "count");
+    let behind = vec![Behind { name: "g".into(), version: 1, since: 1 }; MOST_BEHIND + 1];
+    assert_eq!(value(up(ToUpstream::Acted(Sums { levels: vec![], behind }))), "count");
+    assert_eq!(value(down(FromUpstream::Path(vec!["r".into(); MOST_PATH + 1]))), "count");
+    let entry = |length, offset, part: usize| FromUpstream::Entry {
+        at: AT,
+        length,
+        offset,
+        part: Bytes::from(vec![0; part]),
+    };
+    assert_eq!(value(down(entry(MOST_BODY + 1, 0, 1))), "length");
+    assert_eq!(value(down(entry(9, 8, 2))), "part");
+    assert_eq!(value(down(entry(u32::MAX >> 8, 0, PART + 1))), "part");
+    assert_eq!(value(down(entry(9, u32::MAX, 1))), "part");
+    let part =
+        |offset, part: usize| FromUpstream::Part { version: 1, offset, part: Bytes::from(vec![0; part]) };
+    assert_eq!(value(down(part(0, PART + 1))), "part");
+    assert_eq!(value(down(part(MOST_CHECKPOINT, 1))), "part");
+    let far = Checkpoint { length: MOST_CHECKPOINT + 1, ..checkpoint() };
+    assert_eq!(value(down(FromUpstream::At { head: AT, from: 0, checkpoint: Some(far) })), "length");
+    assert_eq!(value(down(FromUpstream::Later { after: MOST_WAIT * 2 })), "wait");
+    let wide = |length: u32| {
+        let mut head = BytesMut::from(&length.to_be_bytes()[..]);
+        next_frame::<FromUpstream>(&mut head)
+    };
+    assert_eq!(wide(MOST_FRAME), Ok(None));
+    let length = MOST_FRAME + 1;
+    assert_eq!(wide(length), Err(Malformed::Long { length, most: MOST_FRAME }));
+    // The longest sums there are fit.
+    let name = "n".repeat(MOST_NAME);
+    let behind = vec![Behind { name: name.clone(), version: 1, since: 1 }; MOST_BEHIND];
+    let levels = vec![Level { version: 1, members: 1 }; MOST_LEVELS];
+    let sums = ToUpstream::Acted(Sums { levels, behind });
+    assert_eq!(ToUpstream::read_back(&sums), sums);
+    let other = ToUpstream::Hello { name, zone: "a".into(), role: Role::Relay }.frame();
+    let mut other = BytesMut::from(&other[..]);
+    other[10] = 1;
+    assert!(matches!(next_frame::<ToUpstream>(&mut other), Err(Malformed::Version { version: 1, .. })));
+}
