--- a/crates/fleet/src/relay/above.rs
+++ b/crates/fleet/src/relay/above.rs
@@ -13,10 +13,10 @@
 
 use super::below::FRAME;
 use super::chance::{Chance, rank};
-use super::tail::Tail;
+use super::tail::{ENTRY, Tail};
 use super::{
-    Action, CONNECT, Entry, FIRST_WAIT, HEARTBEAT, LAG, LAST_WAIT, Left, Note, PUT_ASIDE, SILENCE, Upstream,
-    WINDOW,
+    Action, CONNECT, Entry, FIRST_WAIT, HEARTBEAT, LAG, LAST_WAIT, Left, Note, PUT_ASIDE, SILENCE,
+    TAIL_BYTES, Upstream, WINDOW,
 };
 use crate::LinkId;
 
@@ -120,6 +120,7 @@
 struct Followed {
     peer: usize,
     pending: VecDeque<Entry>,
+    bytes: usize,
     partial: Option<Partial>,
     /// Bytes received that it has not been told were taken.
     owed: u32,
@@ -159,6 +160,8 @@
     wide: Duration,
     /// Since when a checkpoint is needed and not vouched for; when that was last said.
     lacking: Option<Duration>,
+    /// Since when one ahead of what is held is vouched for, and nothing was acted on.
+    passed: Option<Duration>,
     said: Option<Duration>,
     /// Nothing is begun before: the vouched history was not the one acted on.
     stopped: Duration,
@@ -206,6 +209,7 @@
             acted,
             wide: Duration::ZERO,
             lacking: None,
+            passed: None,
             said: None,
             stopped: Duration::ZERO,
         }
@@ -436,6 +440,7 @@
             }
             followed.moved = turn.now;
             followed.unvouched.get_or_insert(turn.now);
+            followed.bytes += ENTRY + body.len();
             followed.pending.push_back(Entry { at, body });
         }
         Ok(())
@@ -621,13 +626,17 @@
         if let Some(followed) = &mut self.followed {
             followed.unvouched = (!followed.pending.is_empty()).then_some(turn.now);
         }
+        self.passed = self.passed.map(|_| turn.now);
         self.enforce(turn);
         // What was told of versions that have become the tail's is looked at anew.
         self.compare(turn);
     }
 
     fn next_pending(&mut self, voiced: u64) -> Option<Entry> {
-        self.followed.as_mut()?.pending.pop_front_if(|entry| entry.at.version <= voiced)
+        let followed = self.followed.as_mut()?;
+        let entry = followed.pending.pop_front_if(|entry| entry.at.version <= voiced)?;
+        followed.bytes -= ENTRY + entry.body.len();
+        Some(entry)
     }
 
     /// What is vouched for is not the history that was acted on: it is not for this node to say which is right.
@@ -642,10 +651,10 @@
         involved.into_iter().flatten().for_each(|peer| self.leave(peer, Left::Fork, turn));
     }
 
-    /// Tells the one followed how much may come. Danger: while entries wait for voices nothing is granted, so that what waits is
-    /// bounded by the window and one long entry.
+    /// Tells the one followed how much may come. Danger: what waits for voices is bounded by a whole tail, since another may
+    /// have a hash only of where its own begins, the window, and one long entry; beyond it nothing is granted.
     fn credit(&mut self, turn: &mut Turn) {
-        let Some(followed) = self.followed.as_mut().filter(|followed| followed.pending.is_empty()) else {
+        let Some(followed) = self.followed.as_mut().filter(|followed| followed.bytes <= TAIL_BYTES) else {
             return;
         };
         let granted = followed.owed >= WINDOW / 4;
@@ -667,10 +676,12 @@
         let against = others().filter(|(_, open)| open.against.is_some()).count();
         let alone = followed.unvouched.is_some_and(|since| now >= since + LAG);
         let unsure = followed.unvouched.is_some_and(|since| now >= since + UNSURE);
-        let ahead = others().any(|(peer, open)| {
-            let since = open.told.as_ref().and_then(|told| told.ahead);
-            peer.doubted <= now && since.is_some_and(|since| now >= since.max(followed.moved) + LAG)
-        });
+        let full = followed.bytes > TAIL_BYTES;
+        let ahead = !full
+            && others().any(|(peer, open)| {
+                let since = open.told.as_ref().and_then(|told| told.ahead);
+                peer.doubted <= now && since.is_some_and(|since| now >= since.max(followed.moved) + LAG)
+            });
         let gone = self.peers[peer].told().is_some_and(|told| told.from > end);
         if against >= self.vouch {
             // One of those at least is honest.
@@ -718,7 +729,10 @@
             return;
         }
         let serves = |peer: &Peer| {
-            peer.told().is_some_and(|told| told.head.version >= have.version && told.from <= have.version)
+            // One without a checkpoint has nothing yet.
+            peer.told().is_some_and(|told| {
+                told.checkpoint.is_some() && told.head.version >= have.version && told.from <= have.version
+            })
         };
         let best = |trusted: bool| {
             let mut all = (0..self.peers.len()).filter(|place| serves(&self.peers[*place]));
@@ -744,35 +758,43 @@
     fn follow(&mut self, peer: usize, after: Position, turn: &mut Turn) {
         let Some(link) = self.peers[peer].link() else { return };
         let (pending, moved) = (VecDeque::new(), turn.now);
-        self.followed = Some(Followed { peer, pending, partial: None, owed: 0, moved, unvouched: None });
+        self.followed =
+            Some(Followed { peer, pending, bytes: 0, partial: None, owed: 0, moved, unvouched: None });
         let upstream = self.peers[peer].name.clone();
         turn.out.push(Action::Note(Note::Follows { upstream, after }));
         turn.out.push(Action::Tell { link, frame: ToUpstream::Follow { after } });
     }
 
-    /// The newest checkpoint that enough upstreams tell of alike, and why it is wanted.
-    fn vouched(&self, turn: &Turn) -> Option<Checkpoint> {
+    /// The newest checkpoint that enough upstreams tell of alike and that a node is in want of.
+    fn vouched(&self, wanted: impl Fn(&Checkpoint) -> bool) -> Option<Checkpoint> {
         let told = || self.peers.iter().filter_map(|peer| peer.told()?.checkpoint);
         let enough = |one: &Checkpoint| told().filter(|other| other == one).count() >= self.vouch;
-        let wanted = |one: &Checkpoint| match (turn.tail.head(), turn.tail.checkpoint()) {
-            (None, _) => true,
-            (Some(have), _) if one.at.version > have.version => self.stranded(have, turn.now),
-            (Some(_), held) => {
-                let newer = held.is_some_and(|held| held.at.version < one.at.version);
-                let other = turn.tail.hash_at(one.at.version).is_some_and(|hash| hash != one.at.hash);
-                self.role == Role::Relay && newer && !other
-            }
-        };
         told().filter(|one| wanted(one) && enough(one)).max_by_key(|one| one.at.version)
     }
 
-    /// No upstream has the entries after what is held, and one has others; or only one has, and so no voices are had for them.
-    fn stranded(&self, have: Position, now: Duration) -> bool {
+    /// No upstream has the entries after what is held, and one has others.
+    fn stranded(&self, have: Position) -> bool {
         let mut told = self.peers.iter().filter_map(Peer::told);
-        match &self.followed {
-            None => told.any(|told| told.from > have.version),
-            Some(followed) => followed.unvouched.is_some_and(|since| now >= since + 2 * LAG),
-        }
+        self.followed.is_none() && told.any(|told| told.from > have.version)
+    }
+
+    /// The checkpoint to go on from: where nothing is held, where the entries in between cannot be had, or where none of
+    /// them was believed for long, since too few of those that vouch for it have them.
+    fn needed(&mut self, have: Option<Position>, now: Duration) -> (bool, Option<Checkpoint>) {
+        let newest = self.vouched(|one| have.is_none_or(|have| one.at.version > have.version));
+        let since = newest.map(|_| *self.passed.get_or_insert(now));
+        self.passed = since;
+        let needed = have.is_none_or(|have| self.stranded(have));
+        (needed, newest.filter(|_| needed || since.is_some_and(|since| now >= since + 3 * LAG)))
+    }
+
+    /// What a relay is to have for its followers: what the others have, so that these hear of it from enough.
+    fn fresher(&self, tail: &Tail) -> Option<Checkpoint> {
+        let (have, held) = (tail.head()?, tail.checkpoint()?);
+        self.vouched(|one| {
+            let other = tail.hash_at(one.at.version).is_some_and(|hash| hash != one.at.hash);
+            one.at.version > held.at.version && one.at.version <= have.version && !other
+        })
     }
 
     fn choose_checkpoint(&mut self, turn: &mut Turn) {
@@ -780,15 +802,14 @@
         if self.fetch.is_some() || now < self.stopped {
             return;
         }
-        let checkpoint = self.vouched(turn);
-        let needed = turn.tail.head().is_none_or(|have| self.stranded(have, turn.now));
-        match (checkpoint, needed) {
-            (Some(checkpoint), _) => {
+        let (needed, checkpoint) = self.needed(turn.tail.head(), now);
+        match checkpoint.or_else(|| self.fresher(turn.tail)) {
+            Some(checkpoint) => {
                 self.lacking = None;
                 self.fetch_from(checkpoint, turn);
             }
-            (None, true) => self.lack(turn),
-            (None, false) => self.lacking = None,
+            None if needed => self.lack(turn),
+            None => self.lacking = None,
         }
     }
 
--- a/crates/fleet/src/relay/tail.rs
+++ b/crates/fleet/src/relay/tail.rs
@@ -8,7 +8,7 @@
 use super::{Entry, TAIL_BYTES, TAIL_ENTRIES};
 
 /// Bytes that an entry takes besides its body's.
-const ENTRY: usize = 96;
+pub const ENTRY: usize = 96;
 /// A node without followers holds so many hashes, by which it knows an upstream of another history.
 const HASHES: usize = 4096;
 
--- /dev/null
+++ b/crates/fleet/tests/relay/truth.rs
@@ -0,0 +1,56 @@
+//! The log as its writer wrote it, and other logs.
+
+use bytes::Bytes;
+use umbertray_fleet::relay::Entry;
+use umbertray_store_wire::changes::Position;
+
+/// A new segment is begun after so many changes.
+pub const SEGMENT: u64 = 16;
+
+#[derive(Clone)]
+pub struct Log {
+    pub entries: Vec<Entry>,
+    /// Bytes of a checkpoint.
+    pub state: usize,
+    /// What its checkpoints say besides.
+    pub says: &'static str,
+}
+
+impl Log {
+    pub fn new(state: usize) -> Log {
+        Log { entries: Vec::new(), state, says: "true" }
+    }
+
+    pub fn head(&self) -> Position {
+        self.entries.last().map_or(Position::START, |entry| entry.at)
+    }
+
+    pub fn at(&self, version: u64) -> Option<Position> {
+        match version {
+            0 => Some(Position::START),
+            _ => self.entries.get(version as usize - 1).map(|entry| entry.at),
+        }
+    }
+
+    pub fn write(&mut self, words: &str, length: usize) -> Entry {
+        let mut body = format!("{words} {}", self.entries.len() + 1).into_bytes();
+        body.resize(body.len().max(length), b'.');
+        let at = self.head().then(&body);
+        let entry = Entry { at, body: body.into() };
+        self.entries.push(entry.clone());
+        entry
+    }
+
+    /// The state after a version, as a checkpoint has it.
+    pub fn checkpoint(&self, version: u64) -> (Position, Bytes) {
+        let at = self.at(version).expect("a version of the log");
+        let mut bytes = format!("{} {version} {:?}", self.says, at.hash).into_bytes();
+        bytes.resize(bytes.len().max(self.state), b'.');
+        (at, bytes.into())
+    }
+
+    /// The version that the newest segment begins after.
+    pub fn segment(&self) -> u64 {
+        self.entries.len() as u64 / SEGMENT * SEGMENT
+    }
+}
