--- a/crates/fleet/src/relay/below.rs
+++ b/crates/fleet/src/relay/below.rs
@@ -358,7 +358,7 @@
     }
 
     pub fn woken(&mut self, turn: &mut Turn) {
-        self.fetches.retain(|_, fetch| turn.now < fetch.asked + SILENCE);
+        self.fetches.retain(|_, fetch| turn.now < (fetch.asked + SILENCE).min(fetch.began + MOST_WAIT));
         let links: Vec<LinkId> = self.followers.keys().copied().collect();
         for link in links {
             let Some(follower) = self.followers.get_mut(&link) else { continue };
