--- a/crates/fleet/tests/relay/main.rs
+++ b/crates/fleet/tests/relay/main.rs
@@ -5,6 +5,7 @@
 //! back, over its restarts too; what it holds, queues and serves at once is bounded.
 
 mod cases;
+mod follower;
 mod lies;
 mod net;
 mod sums;
