Let a gateway that kept its state go on from it

A restart asked for the whole checkpoint though the owner has the state at what it had acted on: Node::resume asks for the entries since.

--- a/crates/fleet/src/relay/node.rs
+++ b/crates/fleet/src/relay/node.rs
@@ -44,6 +44,16 @@
         Ok(Node { config, tail, above, below, acted, in_force: 0, outgrown: false })
     }
 
+    /// A gateway whose owner has the state at what it had acted on: it goes on from there, and asks only for what came since.
+    pub fn resume(config: Config, at: Position) -> Result<Node, Unsound> {
+        let mut node = Node::new(config, Some(at))?;
+        if node.config.role == Role::Gateway {
+            node.tail.go_on_from(at);
+            node.in_force = at.version;
+        }
+        Ok(node)
+    }
+
     /// What is to be done about an event, in this order. `now` never goes back.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
--- a/crates/fleet/src/relay/tail.rs
+++ b/crates/fleet/src/relay/tail.rs
@@ -96,6 +96,11 @@
         self.renew(checkpoint, bytes);
     }
 
+    /// Begins with a state that the owner has.
+    pub fn go_on_from(&mut self, at: Position) {
+        self.before = Some(at);
+    }
+
     pub fn clear(&mut self) {
         *self = Tail::new(self.bodies);
     }
