--- a/crates/fleet/src/relay/below.rs
+++ b/crates/fleet/src/relay/below.rs
@@ -35,6 +35,8 @@
     cursor: Option<Cursor>,
     in_flight: u32,
     told: Option<At>,
+    /// When it was last told where this node stands, and when it was last told anything of it.
+    stood: Duration,
     said: Duration,
     sums: Sums,
     /// Since when it has acted on no more; a gateway's.
@@ -115,6 +117,7 @@
             cursor: None,
             in_flight: 0,
             told: None,
+            stood: turn.now,
             said: turn.now,
             sums: Sums::default(),
             since: turn.now,
@@ -336,7 +339,7 @@
         let Some(follower) = self.followers.get_mut(&link) else { return };
         let at = turn.at();
         if follower.greeted && follower.told != Some(at) {
-            (follower.told, follower.said) = (Some(at), turn.now);
+            (follower.told, follower.stood, follower.said) = (Some(at), turn.now, turn.now);
             let At { head, from, checkpoint } = at;
             turn.say(link, FromUpstream::At { head, from, checkpoint });
         }
@@ -350,7 +353,7 @@
             let early = self
                 .followers
                 .get(&link)
-                .is_some_and(|follower| follower.told.is_some() && turn.now < follower.said + SPACED);
+                .is_some_and(|follower| follower.told.is_some() && turn.now < follower.stood + SPACED);
             if !early {
                 self.stand(link, turn);
             }
