Frames for the question where a relay stands; count followers that said who they are

Operators ask once which version is in force where. Kinds 40 and 106 carry the question and a relay's standing, instead of a hello; a node refuses them elsewhere. Whoever asks has said no name and is no follower: Standing counted them, and a test that waited for a follower by it could be satisfied by its own question.

--- a/crates/fleet/src/relay/above.rs
+++ b/crates/fleet/src/relay/above.rs
@@ -338,6 +338,8 @@
             }
             FromUpstream::Refused { why } => Err(Left::Refused(why)),
             FromUpstream::Same => Ok(()),
+            // Nobody asked.
+            FromUpstream::Status(_) => Err(Left::Nonsense),
         }
     }
 
--- a/crates/fleet/src/relay/below.rs
+++ b/crates/fleet/src/relay/below.rs
@@ -95,8 +95,9 @@
         Below { name, most, followers, fetches, pace: FIRST_PACE, turns: Duration::ZERO, chance, path }
     }
 
+    /// Those that have said who they are.
     pub fn count(&self) -> usize {
-        self.followers.len()
+        self.followers.values().filter(|follower| follower.greeted).count()
     }
 
     /// Checkpoints that are being sent.
@@ -175,6 +176,8 @@
                 }
             }
             ToUpstream::Ping => {}
+            // Its owner answers it before any hello.
+            ToUpstream::Status => self.refuse(link, Why::Nonsense, Left::Nonsense, turn),
         }
     }
 
--- a/crates/store-wire/src/changes.rs
+++ b/crates/store-wire/src/changes.rs
@@ -99,6 +99,19 @@
     pub behind: Vec<Behind>,
 }
 
+/// Where a relay stands, for those who run it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Status {
+    pub name: String,
+    pub head: Position,
+    /// Names of the relays that its entries come by, itself last.
+    pub path: Vec<String>,
+    pub followers: u32,
+    /// Bytes of the checkpoint and the entries that it holds.
+    pub held: u64,
+    pub sums: Sums,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ToUpstream {
     /// The first frame.
@@ -115,6 +128,8 @@
     Acted(Sums),
     /// A sign of life, where there is nothing else to say.
     Ping,
+    /// In place of a hello: where the relay stands.
+    Status,
 }
 
 /// Why an upstream will not serve a follower.
@@ -139,24 +154,47 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum FromUpstream {
     /// The first frame. The path is the names of the relays that its entries come by, from the log's folder on.
-    Hello { name: String, path: Vec<String> },
+    Hello {
+        name: String,
+        path: Vec<String>,
+    },
     /// The path has changed.
     Path(Vec<String>),
     /// What it has acted on; the oldest version that it can send entries after; and the checkpoint that it has. Told where
     /// one of them has changed.
-    At { head: Position, from: u64, checkpoint: Option<Checkpoint> },
+    At {
+        head: Position,
+        from: u64,
+        checkpoint: Option<Checkpoint>,
+    },
     /// The answer to what was asked.
-    Had { at: Position },
+    Had {
+        at: Position,
+    },
     /// A part of a change: all of it, but for long ones. The parts of one follow each other.
-    Entry { at: Position, length: u32, offset: u32, part: Bytes },
+    Entry {
+        at: Position,
+        length: u32,
+        offset: u32,
+        part: Bytes,
+    },
     /// A part of the checkpoint.
-    Part { version: u64, offset: u32, part: Bytes },
+    Part {
+        version: u64,
+        offset: u32,
+        part: Bytes,
+    },
     /// Too much is asked for at the moment: again after this.
-    Later { after: Duration },
+    Later {
+        after: Duration,
+    },
     /// The connection ends.
-    Refused { why: Why },
+    Refused {
+        why: Why,
+    },
     /// A sign of life: what was told last still holds.
     Same,
+    Status(Status),
 }
 
 fn name(fields: &mut Reader) -> Result<String, Malformed> {
@@ -233,6 +271,28 @@
     }
 }
 
+impl Status {
+    fn put(&self, out: &mut BytesMut) {
+        put_text(out, &self.name);
+        put_position(out, &self.head);
+        put_names(out, &self.path);
+        out.put_u32(self.followers);
+        out.put_u64(self.held);
+        self.sums.put(out);
+    }
+
+    fn read(fields: &mut Reader) -> Result<Status, Malformed> {
+        Ok(Status {
+            name: name(fields)?,
+            head: position(fields)?,
+            path: few(fields, MOST_PATH, name)?,
+            followers: fields.u32()?,
+            held: fields.u64()?,
+            sums: Sums::read(fields)?,
+        })
+    }
+}
+
 impl Message for ToUpstream {
     const MOST: u32 = MOST_FRAME;
 
@@ -245,6 +305,7 @@
             ToUpstream::Acted(_) => 37,
             ToUpstream::Ping => 38,
             ToUpstream::Ask { .. } => 39,
+            ToUpstream::Status => 40,
         }
     }
 
@@ -258,7 +319,7 @@
                 out.put_u8(*role as u8);
             }
             ToUpstream::Follow { after } => put_position(out, after),
-            ToUpstream::Ping => {}
+            ToUpstream::Ping | ToUpstream::Status => {}
             ToUpstream::Ask { version } => out.put_u64(*version),
             ToUpstream::Fetch { version, offset } => {
                 out.put_u64(*version);
@@ -287,6 +348,7 @@
             37 => ToUpstream::Acted(Sums::read(fields)?),
             38 => ToUpstream::Ping,
             39 => ToUpstream::Ask { version: fields.u64()? },
+            40 => ToUpstream::Status,
             _ => return Err(fields.unknown()),
         })
     }
@@ -306,6 +368,7 @@
             FromUpstream::Refused { .. } => 103,
             FromUpstream::Same => 104,
             FromUpstream::Had { .. } => 105,
+            FromUpstream::Status(_) => 106,
         }
     }
 
@@ -341,6 +404,7 @@
             FromUpstream::Refused { why } => out.put_u8(*why as u8),
             FromUpstream::Same => {}
             FromUpstream::Had { at } => put_position(out, at),
+            FromUpstream::Status(status) => status.put(out),
         }
     }
 
@@ -388,6 +452,7 @@
             }
             104 => FromUpstream::Same,
             105 => FromUpstream::Had { at: position(fields)? },
+            106 => FromUpstream::Status(Status::read(fields)?),
             _ => return Err(fields.unknown()),
         })
     }
--- a/crates/store-wire/tests/frames.rs
+++ b/crates/store-wire/tests/frames.rs
@@ -4,7 +4,7 @@
 use quickcheck::{Gen, QuickCheck};
 use umbertray_store_wire::changes::{
     Behind, Checkpoint, FromUpstream, Level, MOST_BEHIND, MOST_BODY, MOST_CHECKPOINT, MOST_FRAME,
-    MOST_LEVELS, MOST_NAME, MOST_PATH, MOST_WAIT, PART, Position, Role, Sums, ToUpstream, Why,
+    MOST_LEVELS, MOST_NAME, MOST_PATH, MOST_WAIT, PART, Position, Role, Status, Sums, ToUpstream, Why,
 };
 use umbertray_store_wire::list::{Entry, FromList, Place, State, ToList};
 use umbertray_store_wire::orders::{Content, Mark, Order, PAGE, Reply, Span};
@@ -232,8 +232,9 @@
         ToUpstream::Taken { bytes: 9 },
         ToUpstream::Acted(sums.clone()),
         ToUpstream::Ping,
+        ToUpstream::Status,
     ]);
-    assert_eq!(ToUpstream::read_back(&ToUpstream::Acted(sums.clone())), ToUpstream::Acted(sums));
+    assert_eq!(ToUpstream::read_back(&ToUpstream::Acted(sums.clone())), ToUpstream::Acted(sums.clone()));
     let part = Bytes::from_static(b"part");
     let all = [
         FromUpstream::Hello { name: name(), path: vec!["top".into(), name()] },
@@ -246,6 +247,14 @@
         FromUpstream::Later { after: MOST_WAIT },
         FromUpstream::Refused { why: Why::Loop },
         FromUpstream::Same,
+        FromUpstream::Status(Status {
+            name: name(),
+            head: AT,
+            path: vec![name()],
+            followers: 2,
+            held: 3,
+            sums,
+        }),
     ];
     round(&all);
     all.iter().for_each(|message| assert_eq!(&FromUpstream::read_back(message), message));
