--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -221,8 +221,12 @@
 fn done(command: Command) -> Result<(), Failed> {
     match command {
         Command::Check { file } => {
-            let document = serve::document(&file).map_err(Failed::Wrong)?;
-            output::print(&document.as_script());
+            let (document, whole) = serve::document(&file).map_err(Failed::Wrong)?;
+            if whole {
+                output::print(&document.as_script());
+            } else {
+                output::print(&document.own_script());
+            }
             Ok(())
         }
         Command::Import { file, log, who } => import(&file, &log, who),
@@ -307,7 +311,10 @@
     let calls =
         umbertray_config::evaluate(&name, text).map_err(|problem| Failed::Wrong(problem.to_string()))?;
     let document = if calls.iter().any(|call| call.function == "gateway") {
-        serve::document(file).map_err(Failed::Wrong)?
+        match serve::document(file).map_err(Failed::Wrong)? {
+            (document, true) => document,
+            (_, false) => return Err(Failed::Wrong(format!("{name}: relays have its shared settings"))),
+        }
     } else {
         let checked = umbertray_versions::version::document(&calls, &[]);
         checked.map_err(|problems| Failed::Wrong(problems.join("\n")))?
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod node;
 mod output;
 mod rehearse;
+mod relay;
 mod serve;
 mod stand_in;
 mod state;
@@ -44,6 +45,8 @@
     Node(node::Arguments),
     /// Runs the keeper of the map of where data lies, until SIGTERM or SIGINT.
     Keeper(keeper::Arguments),
+    /// Runs a relay, which carries the log of changes to gateways and other relays, until SIGTERM or SIGINT.
+    Relay(relay::Arguments),
     /// Runs gateways with stand-in stores and list on loopback; prints their addresses as one line of JSON.
     Demo(demo::Arguments),
     /// Checks settings, and changes plans, volumes, op types and rules in service, each change on record.
@@ -81,6 +84,7 @@
     let ended = match arguments.command {
         Command::Serve(arguments) => runtime.block_on(serve::run(arguments)),
         Command::Keeper(arguments) => runtime.block_on(keeper::run(arguments)),
+        Command::Relay(arguments) => runtime.block_on(relay::run(arguments)),
         Command::Demo(arguments) => runtime.block_on(demo::run(arguments)),
         Command::Node(_) => Ok(()),
         Command::Config(command) => return config::run(command),
--- a/crates/cli/src/measure/changes.rs
+++ b/crates/cli/src/measure/changes.rs
@@ -76,10 +76,10 @@
 async fn following(fleet: &Fleet, folder: &Path) -> Result<Side, String> {
     let follower = Follower::open(&Disk::look(folder), None).map_err(failed)?;
     let document = own()?;
-    let settings = Arc::new(follower.version.settings(&document.settings));
+    let settings = Arc::new(follower.at.version.settings(&document.settings));
     let (clock, spent) = (Clock::start(), Arc::new(AtomicU64::new(0)));
     let host = Timed { host: Core::new(settings.clone(), 1, clock.now()), spent: spent.clone() };
-    let changes = Some(Changes { folder: folder.into(), follower, acted: None });
+    let changes = Some(Changes::Folder { folder: folder.into(), follower: Box::new(follower), acted: None });
     let options = Options {
         listen: document.listen,
         list: fleet.list.address,
@@ -189,7 +189,7 @@
     let (committing, head) = (began.elapsed(), log.head().number);
     drop(log);
     let began = Instant::now();
-    let version = Follower::open(&Disk::look(folder), None).map_err(failed)?.version.number;
+    let version = Follower::open(&Disk::look(folder), None).map_err(failed)?.at.version.number;
     let following = began.elapsed();
     let began = Instant::now();
     drop(Log::open(Box::new(Disk::open(folder).map_err(failed)?), GROWN).map_err(failed)?);
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use tokio::signal::unix::{SignalKind, signal};
-use umbertray_config::Document;
-use umbertray_gateway::Changes;
+use umbertray_config::{Call, Document};
+use umbertray_gateway::{Changes, PATIENCE, Relayed, Relays};
 use umbertray_state::Disk;
-use umbertray_versions::Follower;
+use umbertray_versions::chain::Hash;
+use umbertray_versions::{Follower, Replica};
 
 use crate::output;
 
@@ -18,39 +19,87 @@
     config: PathBuf,
 }
 
-pub fn document(file: &Path) -> Result<Document, String> {
-    read(file, |_| Ok(None)).map(|(document, _)| document)
+/// What a script's calls are, and where it stands.
+struct Script {
+    name: String,
+    calls: Vec<Call>,
 }
 
-/// What a gateway acted on last, and which.
-type Acted = Option<(u64, [u8; 32])>;
-
-/// Reads a script, and the log of changes that it names, if any, from what `acted` finds in the gateway's state folder on.
-fn read(
-    file: &Path,
-    acted: impl Fn(&Path) -> Result<Acted, String>,
-) -> Result<(Document, Option<Changes>), String> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|error| format!("{name}: {error}"))?;
-    let calls = umbertray_config::evaluate(&name, text).map_err(|problem| said(&[problem]))?;
-    let named = |field: &str| {
-        let gateway = calls.iter().filter(|call| call.function == "gateway");
-        let mut values = gateway.filter_map(|call| call.named.get(field)?.as_str());
-        values.find(|folder| !folder.is_empty()).map(PathBuf::from)
-    };
-    let Some(folder) = named("changes") else {
-        let document = umbertray_config::whole(&name, &calls).map_err(|problems| said(&problems))?;
-        return Ok((document, None));
+impl Script {
+    fn read(file: &Path) -> Result<Script, String> {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|error| format!("{name}: {error}"))?;
+        let calls = umbertray_config::evaluate(&name, text).map_err(|problem| said(&[problem]))?;
+        Ok(Script { name, calls })
+    }
+
+    /// It names a log of changes, which has what is shared.
+    fn follows(&self) -> bool {
+        let named = |call: &Call| {
+            call.named.get("changes").is_some_and(|changes| *changes != "" && !changes.is_null())
+        };
+        self.calls.iter().any(|call| call.function == "gateway" && named(call))
+    }
+
+    fn whole(&self) -> Result<Document, String> {
+        umbertray_config::whole(&self.name, &self.calls).map_err(|problems| said(&problems))
+    }
+
+    fn own_part(&self) -> Result<Document, String> {
+        umbertray_config::own_part(&self.name, &self.calls).map_err(|problems| said(&problems))
+    }
+
+    /// With what the log has.
+    fn with(&self, at: &Replica) -> Result<Document, String> {
+        let shared = at.version.configuration.calls();
+        umbertray_versions::version::document(&shared, &self.calls).map_err(|problems| problems.join("\n"))
+    }
+}
+
+fn follower(folder: &Path, acted: Option<(u64, Hash)>) -> Result<Follower, String> {
+    Follower::open(&Disk::look(folder), acted).map_err(|error| format!("{}: {error}", folder.display()))
+}
+
+/// The settings that a script and the folder that it names, if any, come to. What relays tell is not asked for: the second is
+/// false where it is missing.
+pub fn document(file: &Path) -> Result<(Document, bool), String> {
+    let script = Script::read(file)?;
+    if !script.follows() {
+        return Ok((script.whole()?, true));
+    }
+    let own = script.own_part()?;
+    match &own.changes {
+        Some(umbertray_config::Changes::Folder(folder)) => {
+            Ok((script.with(&follower(Path::new(folder), None)?.at)?, true))
+        }
+        _ => Ok((own, false)),
+    }
+}
+
+/// Reads a script, and the log of changes that it names, if any, from what the gateway has acted on.
+async fn read(file: &Path) -> Result<(Document, Option<Changes>), String> {
+    let script = Script::read(file)?;
+    if !script.follows() {
+        return Ok((script.whole()?, None));
+    }
+    let own = script.own_part()?;
+    let state: Option<PathBuf> = own.state.map(PathBuf::from);
+    let changes = match own.changes {
+        Some(umbertray_config::Changes::Folder(folder)) => {
+            let acted = state.as_deref().map(umbertray_gateway::acted).transpose();
+            let acted = acted.map_err(|error| format!("the version acted on: {error}"))?.flatten();
+            let follower = follower(Path::new(&folder), acted)?;
+            Changes::Folder { folder: folder.into(), follower: Box::new(follower), acted: state }
+        }
+        Some(umbertray_config::Changes::Relays { upstreams, vouch }) => {
+            let (name, zone, seed) = (own.name, own.zone, own.seed);
+            let relays = Relays { name, zone, upstreams, vouch, seed, patience: PATIENCE, state };
+            let relayed = Relayed::start(relays).await.map_err(|error| error.to_string())?;
+            Changes::Relays(Box::new(relayed))
+        }
+        None => return Ok((script.whole()?, None)),
     };
-    umbertray_config::own(&calls).map_err(|problems| said(&problems))?;
-    let state = named("state");
-    let last = state.as_deref().map(acted).transpose()?.flatten();
-    let follower = Follower::open(&Disk::look(&folder), last);
-    let follower = follower.map_err(|error| format!("{}: {error}", folder.display()))?;
-    let shared = follower.version.configuration.calls();
-    let document = umbertray_versions::version::document(&shared, &calls);
-    let document = document.map_err(|problems| problems.join("\n"))?;
-    Ok((document, Some(Changes { folder, follower, acted: state })))
+    Ok((script.with(changes.at())?, Some(changes)))
 }
 
 pub fn said(problems: &[umbertray_config::Problem]) -> String {
@@ -69,7 +118,7 @@
 ) -> Result<umbertray_gateway::Running, String> {
     let Document { listen, list, keeper, seed, state, settings, .. } = document;
     let settings = match &changes {
-        Some(changes) => changes.follower.version.settings(&settings),
+        Some(changes) => changes.at().version.settings(&settings),
         None => settings,
     };
     let options =
@@ -89,10 +138,7 @@
 }
 
 pub async fn run(arguments: Arguments) -> Result<(), String> {
-    let acted = |folder: &Path| {
-        umbertray_gateway::acted(folder).map_err(|error| format!("the version acted on: {error}"))
-    };
-    let (document, changes) = read(&arguments.config, acted)?;
+    let (document, changes) = read(&arguments.config).await?;
     let mut gateway = start(document, changes).await?;
     let addresses: Vec<String> = gateway.addresses.iter().map(ToString::to_string).collect();
     let exports: Vec<String> = gateway.exports();
--- a/crates/cli/tests/sockets/changes.rs
+++ b/crates/cli/tests/sockets/changes.rs
@@ -41,12 +41,12 @@
     assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
 }
 
-fn apply(words: &[&str], changes: &Path) {
+pub fn apply(words: &[&str], changes: &Path) {
     does(&[&["apply"], words, &WHO].concat(), changes);
 }
 
 /// A folder of this test's with a log of version 1 in it.
-fn begun(name: &str) -> (PathBuf, PathBuf) {
+pub fn begun(name: &str) -> (PathBuf, PathBuf) {
     let folder = folder(name);
     let (file, changes) = (folder.join("shared.star"), folder.join("changes"));
     std::fs::write(&file, SHARED).expect("room");
@@ -66,7 +66,7 @@
 }
 
 /// Waits until a gateway's log says that it acts on a version.
-async fn acts_on(folder: &Path, number: u64, version: u64) {
+pub async fn acts_on(folder: &Path, number: u64, version: u64) {
     let file = folder.join(format!("g{number}.log"));
     let said = || {
         let text = std::fs::read_to_string(&file).unwrap_or_default();
--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -5,5 +5,6 @@
 mod days;
 mod hard_cases;
 mod moves;
+mod relays;
 mod restarts;
 mod sessions;
--- a/crates/config/src/canon.rs
+++ b/crates/config/src/canon.rs
@@ -6,7 +6,7 @@
 use umbertray_routing::settings::{Bounds, OpType, Plan, Repeats, Rules, TypeRule, Volume};
 
 use crate::calls::Call;
-use crate::{Document, check};
+use crate::{Changes, Document, check};
 
 fn seconds(span: Duration) -> Value {
     json!(span.as_secs_f64())
@@ -16,9 +16,20 @@
     figure.map_or(Value::Null, |figure| json!(figure))
 }
 
+fn changes(changes: &Option<Changes>) -> (Value, Value) {
+    match changes {
+        None => (Value::Null, Value::Null),
+        Some(Changes::Folder(folder)) => (json!(folder), Value::Null),
+        Some(Changes::Relays { upstreams, vouch }) => {
+            (json!(upstreams.iter().map(ToString::to_string).collect::<Vec<_>>()), json!(vouch))
+        }
+    }
+}
+
 pub fn gateway(document: &Document) -> Call {
     let s = &document.settings;
     let listen: Vec<String> = document.listen.iter().map(ToString::to_string).collect();
+    let (changes, vouch) = changes(&document.changes);
     let text = |text: &Option<String>| text.as_ref().map_or(Value::Null, |text| json!(text));
     Call::of(
         "gateway",
@@ -29,7 +40,10 @@
             ("keeper", text(&document.keeper.map(|address| address.to_string()))),
             ("seed", json!(document.seed)),
             ("state", text(&document.state)),
-            ("changes", text(&document.changes)),
+            ("changes", changes),
+            ("vouch", vouch),
+            ("name", json!(document.name)),
+            ("zone", json!(document.zone)),
             ("gateways", json!(s.gateways)),
             ("extent", json!(s.extent_bytes)),
             ("unit", json!(s.unit_bytes)),
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -5,12 +5,13 @@
 
 use imbl::Vector;
 
+use serde_json::Value;
 use umbertray_routing::Settings;
 use umbertray_routing::settings::{Bounds, Further, Limit, OpType, Plan, Repeats, Rules, TypeRule, Volume};
 use umbertray_store_wire::store::Work;
 
 use crate::calls::{Arguments, Call};
-use crate::{Document, Problem};
+use crate::{Changes, Document, Problem, Relay, Upstream};
 
 const WORKS: [(&str, Work); 6] = [
     ("read", Work::Read),
@@ -260,14 +261,20 @@
     })
 }
 
-pub fn keeper(file: &str, calls: &[Call]) -> Result<crate::Keeper, Vec<Problem>> {
+/// The one call of a script that makes a process of another kind than a gateway.
+fn alone<'a>(file: &str, calls: &'a [Call], function: &str) -> Result<&'a Call, Vec<Problem>> {
     let [call] = calls else {
-        let what = format!("one call of keeper is wanted, and no other; there are {}", calls.len());
+        let what = format!("one call of {function} is wanted, and no other; there are {}", calls.len());
         return Err(vec![Problem { file: file.into(), line: 0, column: 0, what }]);
     };
-    if call.function != "keeper" {
-        return Err(vec![call.problem("does not belong in a keeper's script".into())]);
+    if call.function != function {
+        return Err(vec![call.problem(format!("does not belong in a {function}'s script"))]);
     }
+    Ok(call)
+}
+
+pub fn keeper(file: &str, calls: &[Call]) -> Result<crate::Keeper, Vec<Problem>> {
+    let call = alone(file, calls, "keeper")?;
     let mut problems = Vec::new();
     let mut args = Arguments::new(call, &mut problems);
     let [listen, list] = ["listen", "list"].map(|name| {
@@ -279,6 +286,87 @@
     if problems.is_empty() { Ok(crate::Keeper { listen, list, folder }) } else { Err(problems) }
 }
 
+/// A folder is a string, relays are a list.
+fn changes(args: &mut Arguments) -> Option<Changes> {
+    let relays = args.call.named.get("changes").is_some_and(Value::is_array);
+    let changes = if relays {
+        let texts = args.texts("changes");
+        let upstreams: Vec<Upstream> = texts.iter().map(|text| upstream(args, text)).collect();
+        let named = |upstream: &Upstream| {
+            let same = |other: &&Upstream| other.name == upstream.name || other.address == upstream.address;
+            upstreams.iter().filter(same).count() > 1
+        };
+        if let Some(twice) = upstreams.iter().find(|upstream| named(upstream)) {
+            args.problem(format!("changes: the relay {twice} is named twice: it would vouch for itself"));
+        }
+        let most = upstreams.len().max(1) as u64;
+        let vouch = args.count("vouch", 1..=most, Some(VOUCH.min(most))) as usize;
+        Some(Changes::Relays { upstreams, vouch })
+    } else {
+        Some(args.text("changes", Some(""))).filter(|text| !text.is_empty()).map(Changes::Folder)
+    };
+    if !relays && args.optional("vouch", 1.0..=MOST).is_some() {
+        args.problem("vouch goes with a list of relays only".into());
+    }
+    changes
+}
+
+/// One more than the relays that may lie, unless it is said otherwise.
+const VOUCH: u64 = 2;
+
+/// The longest name of a relay or gateway or zone, bytes.
+const MOST_NAME: usize = umbertray_store_wire::changes::MOST_NAME;
+
+/// The zone of whoever names none.
+const ZONE: &str = "default";
+
+/// ZONE/NAME=HOST:PORT, or HOST:PORT of a relay that has no other name, in the default zone.
+fn upstream(args: &mut Arguments, text: &str) -> Upstream {
+    let (place, at) = text.split_once('=').unwrap_or(("", text));
+    let (zone, name) = place.split_once('/').unwrap_or((ZONE, place));
+    let address = address(args, "changes", at);
+    let name = if name.is_empty() { address.to_string() } else { name.to_string() };
+    if zone.is_empty() || name.len() > MOST_NAME || zone.len() > MOST_NAME {
+        args.problem(format!(
+            "changes: a name or zone in {text:?} is empty or longer than {MOST_NAME} bytes"
+        ));
+    }
+    Upstream { name, zone: zone.into(), address }
+}
+
+/// Who follows relays: its name, and its zone.
+fn member(args: &mut Arguments, otherwise: &str) -> (String, String) {
+    let (name, zone) = (args.text("name", Some(otherwise)), args.text("zone", Some(ZONE)));
+    for (field, text) in [("name", &name), ("zone", &zone)] {
+        if text.is_empty() || text.len() > MOST_NAME {
+            args.problem(format!("{field} = {text:?} is empty or longer than {MOST_NAME} bytes"));
+        }
+        if text.contains(['/', '=']) {
+            args.problem(format!("{field} = {text:?} has a / or = in it"));
+        }
+    }
+    (name, zone)
+}
+
+pub fn relay(file: &str, calls: &[Call]) -> Result<Relay, Vec<Problem>> {
+    let call = alone(file, calls, "relay")?;
+    let mut problems = Vec::new();
+    let mut args = Arguments::new(call, &mut problems);
+    let listen = args.text("listen", None);
+    let listen = address(&mut args, "listen", &listen);
+    let (name, zone) = member(&mut args, &listen.to_string());
+    let changes = changes(&mut args);
+    if changes.is_none() {
+        args.problem("changes is missing: a folder, or a list of relays".into());
+    }
+    let folder = Some(args.text("folder", Some(""))).filter(|text| !text.is_empty());
+    args.end();
+    match changes {
+        Some(changes) if problems.is_empty() => Ok(Relay { listen, name, zone, changes, folder }),
+        _ => Err(problems),
+    }
+}
+
 fn gateway(
     call: &Call,
     (op_types, type_rules, plans, volumes): Named,
@@ -293,8 +381,9 @@
     let optional =
         |args: &mut Arguments, name| Some(args.text(name, Some(""))).filter(|text| !text.is_empty());
     let keeper = optional(&mut args, "keeper").map(|text| address(&mut args, "keeper", &text));
-    let (state, changes) = (optional(&mut args, "state"), optional(&mut args, "changes"));
+    let (state, changes) = (optional(&mut args, "state"), changes(&mut args));
     let seed = args.count("seed", 0..=1 << 53, Some(0));
+    let (name, zone) = member(&mut args, &format!("gateway-{seed}"));
     let extent_bytes = args.count("extent", 4096..=32 << 20, Some(1 << 20)) as u32;
     if !extent_bytes.is_multiple_of(4096) {
         args.problem(format!("extent = {extent_bytes} is not a multiple of 4096"));
@@ -318,5 +407,5 @@
         bounds,
     };
     args.end();
-    Document { listen, list, keeper, seed, state, changes, settings }
+    Document { listen, list, keeper, seed, state, changes, name, zone, settings }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -28,11 +28,37 @@
     pub seed: u64,
     /// The folder in which state is kept over restarts.
     pub state: Option<String>,
-    /// The folder of the log of changes, whose plans, volumes, op types and rules hold in place of the script's.
-    pub changes: Option<String>,
+    /// Whence the log of changes comes, whose plans, volumes, op types and rules hold in place of the script's.
+    pub changes: Option<Changes>,
+    /// What relays know it by; a name of its own among all that follow them.
+    pub name: String,
+    pub zone: String,
     pub settings: Settings,
 }
 
+/// Whence a log of changes comes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// The writer's folder.
+    Folder(String),
+    /// Relays, and how many of them must say the same before it is acted on.
+    Relays { upstreams: Vec<Upstream>, vouch: usize },
+}
+
+/// A relay that is followed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    pub name: String,
+    pub zone: String,
+    pub address: SocketAddr,
+}
+
+impl fmt::Display for Upstream {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}/{}={}", self.zone, self.name, self.address)
+    }
+}
+
 /// Something that must be mended, and where.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Problem {
@@ -76,6 +102,23 @@
     check::keeper(file, &script::evaluate(file, text).map_err(|problem| vec![problem])?)
 }
 
+/// What a relay is to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Relay {
+    pub listen: SocketAddr,
+    /// What others know it by; a name of its own among all that follow relays.
+    pub name: String,
+    pub zone: String,
+    pub changes: Changes,
+    /// Where it keeps what it carries, over its restarts.
+    pub folder: Option<String>,
+}
+
+/// Evaluates a relay's script and checks what it says.
+pub fn read_relay(file: &str, text: String) -> Result<Relay, Vec<Problem>> {
+    check::relay(file, &script::evaluate(file, text).map_err(|problem| vec![problem])?)
+}
+
 /// Checks that a script's calls are settings, and what they say.
 pub fn whole(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
     let strange = calls.iter().filter(|call| !SETTINGS.contains(&call.function));
@@ -92,6 +135,20 @@
     if strange.is_empty() { Ok(()) } else { Err(strange) }
 }
 
+/// A gateway's own calls, read beside stand-ins for what the log has, which is not known yet.
+pub fn own_part(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
+    own(calls)?;
+    let (latency, works) = (0.001.into(), ["read", "write", "zero", "trim", "flush", "status"]);
+    let op = [("target_latency", latency), ("op_timeout", 1.into()), ("utility", 1.into())];
+    let shared = [
+        Call::of("op_type", "op".into(), op),
+        Call::of("request", works.as_slice().into(), [("op_type", "op".into())]),
+        Call::of("plan", "plan".into(), [("rate", 1.into())]),
+        Call::of("volume", "volume".into(), [("size", 512.into()), ("plan", "plan".into())]),
+    ];
+    document(file, &[calls, &shared].concat())
+}
+
 /// Checks the settings among a script's calls.
 pub fn document(file: &str, calls: &[Call]) -> Result<Document, Vec<Problem>> {
     check::document(file, calls)
@@ -103,6 +160,12 @@
         self.calls().iter().map(|call| call.as_script() + "\n").collect()
     }
 
+    /// A gateway's own part of that script.
+    pub fn own_script(&self) -> String {
+        let calls = [canon::gateway(self), canon::bounds(&self.settings.bounds)];
+        calls.iter().map(|call| call.as_script() + "\n").collect()
+    }
+
     /// The calls of that script.
     pub fn calls(&self) -> Vec<Call> {
         let settings = &self.settings;
--- a/crates/config/src/script.rs
+++ b/crates/config/src/script.rs
@@ -82,6 +82,13 @@
         note(eval, "keeper", None, named)
     }
 
+    fn relay<'v>(
+        #[starlark(kwargs)] named: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note(eval, "relay", None, named)
+    }
+
     fn rules<'v>(
         #[starlark(kwargs)] named: SmallMap<String, Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings as people write them: understood, or every problem named with its place.
 
-use umbertray_config::{Document, Problem, read};
+use umbertray_config::{Changes, Document, Problem, read};
 
 const GOOD: &str = r#"
 gateway(listen = ["127.0.0.1:0", "[::1]:0"], list = "127.0.0.1:7000", gateways = 3, state = "/var/lib/x")
@@ -108,3 +108,53 @@
         assert_eq!(found.len(), 1, "{found:?}");
     }
 }
+
+#[test]
+fn relays_are_read_with_their_names_and_zones() {
+    let text = "relay(listen = \"10.0.0.1:7200\", zone = \"a\", changes = [\"b/r2=10.0.0.2:7200\", \"10.0.0.3:7200\", \"r4=10.0.0.4:7200\"])";
+    let relay = umbertray_config::read_relay("r.star", text.into()).expect("it is right");
+    assert_eq!((relay.name.as_str(), relay.zone.as_str()), ("10.0.0.1:7200", "a"));
+    let Changes::Relays { upstreams, vouch } = relay.changes else { panic!("relays are named") };
+    let named: Vec<String> = upstreams.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        named,
+        ["b/r2=10.0.0.2:7200", "default/10.0.0.3:7200=10.0.0.3:7200", "default/r4=10.0.0.4:7200"]
+    );
+    assert_eq!(vouch, 2);
+    let text = "relay(listen = \"10.0.0.1:7200\", changes = \"/srv/log\", folder = \"/var/lib/r\")";
+    let relay = umbertray_config::read_relay("r.star", text.into()).expect("it is right");
+    assert_eq!(relay.changes, Changes::Folder("/srv/log".into()));
+}
+
+#[test]
+fn a_gateway_that_follows_relays_reads_back_to_the_same() {
+    let more = ", changes = [\"a/r1=10.0.0.1:7200\", \"b/r2=10.0.0.2:7200\"], vouch = 1, name = \"g\", zone = \"b\")";
+    let own = format!("gateway(listen = [\"127.0.0.1:0\"], list = \"127.0.0.1:1\"{more}");
+    let calls = umbertray_config::evaluate("s.star", own).expect("a script");
+    let document = umbertray_config::own_part("s.star", &calls).expect("it is right");
+    let again = umbertray_config::evaluate("again", document.own_script()).expect("a script");
+    assert_eq!(umbertray_config::own_part("again", &again), Ok(document));
+}
+
+#[test]
+fn relays_that_cannot_be_are_named_with_their_place() {
+    for (changes, wanted) in [
+        ("[\"r1=nowhere\"]", "changes = \"nowhere\" is not an address and port"),
+        ("[\"r=10.0.0.1:1\", \"r=10.0.0.2:1\"]", "it would vouch for itself"),
+        ("[\"r=10.0.0.1:1\", \"s=10.0.0.1:1\"]", "it would vouch for itself"),
+        ("[\"/r=10.0.0.1:1\"]", "is empty or longer than 128 bytes"),
+        ("[\"r=10.0.0.1:1\"], vouch = 2", "vouch = 2 is out of range, 1 to 1"),
+        ("\"/srv/log\", vouch = 2", "vouch goes with a list of relays only"),
+        ("[\"r=10.0.0.1:1\"], name = \"a/b\"", "has a / or = in it"),
+        ("[]", "is not a string or a list of strings"),
+        ("[\"r=10.0.0.1:1\"], follow = 3", "unknown argument follow"),
+    ] {
+        let text = format!("relay(listen = \"10.0.0.9:7200\", changes = {changes})");
+        let problems = umbertray_config::read_relay("r.star", text).expect_err("it is wrong");
+        let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        let named = problems
+            .iter()
+            .any(|problem| problem.starts_with("r.star:1:1: relay: ") && problem.contains(wanted));
+        assert!(named, "{changes}: {problems:?}");
+    }
+}
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -1,7 +1,6 @@
-//! The thread that follows the log of changes and hands its hub what is safely committed.
+//! Following the log of changes: what is safely committed goes to the hub.
 
 use std::collections::BTreeSet;
-use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,10 +8,11 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
 use umbertray_routing::{Input, Settings, Step};
-use umbertray_state::{Disk, Layer};
-use umbertray_versions::{Follower, Version};
+use umbertray_state::Disk;
+use umbertray_versions::follow::{NotFollowed, Taken};
+use umbertray_versions::{Follower, Replica, acted};
 
-use crate::hub::ToHub;
+use crate::relayed::Relayed;
 
 /// How often the folder is looked at.
 const EVERY: Duration = Duration::from_millis(20);
@@ -23,99 +23,120 @@
 /// So many volumes are told of in one turn of the hub.
 const TOLD: usize = 256;
 
-/// The file in a gateway's own folder that says what it has acted on.
-const ACTED: &str = "acted";
+/// The log of changes that a gateway follows, read up to the settings that it starts with.
+pub enum Changes {
+    /// In the writer's folder.
+    Folder {
+        folder: PathBuf,
+        follower: Box<Follower>,
+        /// Where it keeps what it has acted on, over its restarts.
+        acted: Option<PathBuf>,
+    },
+    /// As relays tell of it.
+    Relays(Box<Relayed>),
+}
 
-/// A log that a gateway follows.
-pub struct Changes {
-    pub folder: PathBuf,
-    pub follower: Follower,
-    /// Where it keeps what it has acted on, over its restarts.
-    pub acted: Option<PathBuf>,
+/// Writes down what is about to be acted on.
+pub(crate) fn note(folder: Option<&Path>, at: &Replica) {
+    if let Some(Err(error)) = folder.map(|folder| acted::write(folder, at.version.number, at.hash)) {
+        tracing::error!(%error, "what was acted on could not be kept: an older log would be taken after a restart");
+    }
 }
 
-#[derive(serde::Serialize, serde::Deserialize)]
-struct Acted {
-    version: u64,
-    hash: [u8; 32],
+/// Whom a follower of changes tells.
+pub(crate) struct Told {
+    pub own: Arc<Settings>,
+    pub present: Arc<ArcSwap<Settings>>,
+    pub removing: watch::Sender<u64>,
+    pub acted: watch::Sender<u64>,
+    pub to_hub: mpsc::Sender<Input>,
 }
 
-/// The version that an earlier run had acted on. A file that is there and cannot be read is an error: without it an older
-/// log would be believed.
-pub fn acted(folder: &Path) -> io::Result<Option<(u64, [u8; 32])>> {
-    match Disk::look(folder).read(ACTED, 4096) {
-        Ok(bytes) => {
-            let acted: Acted = serde_json::from_slice(&bytes)?;
-            Ok(Some((acted.version, acted.hash)))
+impl Changes {
+    /// The state that it starts with.
+    pub fn at(&self) -> &Replica {
+        match self {
+            Changes::Folder { follower, .. } => &follower.at,
+            Changes::Relays(relayed) => &relayed.at,
+        }
+    }
+
+    /// Follows until the hub ends.
+    pub(crate) async fn follow(self, told: Told) {
+        match self {
+            Changes::Folder { folder, follower, acted } => {
+                Looks { disk: Disk::look(&folder), follower, acted }.follow(&told).await;
+            }
+            Changes::Relays(relayed) => relayed.follow(&told).await,
         }
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(error) => Err(error),
     }
 }
 
-/// Danger: what was acted on is written down, for sure, before it is acted on. Otherwise a crash in between would let the next
-/// run take an older log, with a limit that was lowered since.
-fn write_acted(folder: &Path, follower: &Follower) -> io::Result<()> {
-    std::fs::create_dir_all(folder)?;
-    let acted = Acted { version: follower.version.number, hash: follower.hash };
-    let (mut disk, fresh) = (Disk::look(folder), format!("{ACTED}.new"));
-    disk.put(&fresh, ACTED, &serde_json::to_vec(&acted)?)
+/// One line a while, however often there is cause.
+#[derive(Default)]
+pub(crate) struct Seldom(Option<Instant>);
+
+impl Seldom {
+    pub fn due(&mut self) -> bool {
+        let due = self.0.is_none_or(|at| at.elapsed() >= SAY);
+        if due {
+            self.0 = Some(Instant::now());
+        }
+        due
+    }
 }
 
-/// Whom the thread tells.
-struct Told {
-    own: Arc<Settings>,
-    present: Arc<ArcSwap<Settings>>,
-    removing: watch::Sender<u64>,
-    to_hub: mpsc::Sender<Input>,
+/// What looks at a folder. What it reads and decodes is kept off the runtime's own threads, which a disk that hangs must not
+/// hold.
+struct Looks {
+    disk: Disk,
+    follower: Box<Follower>,
+    acted: Option<PathBuf>,
 }
 
-/// Starts the thread; it ends with the hub.
-pub(crate) fn follow(
-    mut changes: Changes,
-    own: Arc<Settings>,
-    present: Arc<ArcSwap<Settings>>,
-    removing: watch::Sender<u64>,
-    to_hub: mpsc::Sender<Input>,
-    hub: mpsc::WeakUnboundedSender<ToHub>,
-) {
-    let told = Told { own, present, removing, to_hub };
-    std::thread::spawn(move || {
-        let disk = Disk::look(&changes.folder);
-        let mut said: Option<Instant> = None;
-        changes.note();
-        while hub.upgrade().is_some() && !told.to_hub.is_closed() {
-            match changes.follower.poll(&disk) {
+impl Looks {
+    fn look(&mut self) -> Result<Vec<Taken>, NotFollowed> {
+        let taken = self.follower.poll(&self.disk)?;
+        if !taken.is_empty() {
+            note(self.acted.as_deref(), &self.follower.at);
+        }
+        Ok(taken)
+    }
+
+    async fn follow(mut self, told: &Told) {
+        let mut said = Seldom::default();
+        note(self.acted.as_deref(), &self.follower.at);
+        loop {
+            let looked = tokio::task::spawn_blocking(move || {
+                let taken = self.look();
+                (self, taken)
+            });
+            let Ok((looks, taken)) = looked.await else { return };
+            self = looks;
+            match taken {
                 Ok(taken) if taken.is_empty() => {}
                 Ok(taken) => {
-                    changes.note();
-                    if told.tell(taken).is_none() {
+                    if told.tell(taken).await.is_none() {
                         return;
                     }
                 }
-                Err(error) if said.is_none_or(|at| at.elapsed() >= SAY) => {
-                    let version = changes.follower.version.number;
+                Err(error) if said.due() => {
+                    let version = self.follower.at.version.number;
                     tracing::error!(%error, version, "log of changes not followed");
-                    said = Some(Instant::now());
                 }
                 Err(_) => {}
             }
-            std::thread::sleep(EVERY);
-        }
-    });
-}
-
-impl Changes {
-    fn note(&self) {
-        if let Some(Err(error)) = self.acted.as_ref().map(|folder| write_acted(folder, &self.follower)) {
-            tracing::error!(%error, "what was acted on could not be kept: an older log would be taken after a restart");
+            tokio::select! {
+                () = tokio::time::sleep(EVERY) => {}
+                () = told.to_hub.closed() => return,
+            }
         }
     }
 }
 
 impl Told {
-    /// All that was committed since the last look at once: the newest settings, and what any of the changes touched.
-    fn tell(&self, taken: Vec<(Version, Vec<Step>)>) -> Option<()> {
+    /// All that was committed since the last time at once: the newest settings, and what any of the changes touched.
+    pub async fn tell(&self, taken: Vec<Taken>) -> Option<()> {
         let (mut figures, mut removed, mut volumes) = (false, 0, BTreeSet::new());
         for step in taken.iter().flat_map(|(_, steps)| steps) {
             match step {
@@ -136,11 +157,12 @@
             steps.chunks(TOLD).map(<[Step]>::to_vec).collect()
         };
         for steps in parts {
-            self.to_hub.blocking_send(Input::Changed { settings: settings.clone(), steps }).ok()?;
+            self.to_hub.send(Input::Changed { settings: settings.clone(), steps }).await.ok()?;
         }
         if removed > 0 {
             self.removing.send_modify(|count| *count += removed);
         }
+        self.acted.send_replace(newest.number);
         tracing::info!(version = newest.number, changes = taken.len(), "changes acted on");
         Some(())
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod keeper;
 mod link;
 mod list;
+mod relayed;
 mod reply;
 mod session;
 
@@ -25,8 +26,10 @@
 use tokio::task::JoinHandle;
 use umbertray_routing::{Core, Host, Settings};
 
-pub use changes::{Changes, acted};
+pub use changes::Changes;
+pub use relayed::{PATIENCE, Relayed, RelayedError, Relays};
 pub use umbertray_clock::Clock;
+pub use umbertray_versions::acted::read as acted;
 
 /// Where a gateway listens and whom it asks.
 pub struct Options {
@@ -50,7 +53,10 @@
     stop: watch::Sender<bool>,
     hub: JoinHandle<Result<(), String>>,
     present: Arc<ArcSwap<Settings>>,
+    acted: watch::Receiver<u64>,
     accepting: Vec<JoinHandle<()>>,
+    /// Changes go on being followed while what is open is answered.
+    following: Option<JoinHandle<()>>,
 }
 
 impl Running {
@@ -68,6 +74,11 @@
         settings.volumes.iter().filter(|volume| !volume.gone).map(|volume| volume.name.clone()).collect()
     }
 
+    /// The version of the log of changes that it acts on, and each that it acts on later; 0 where it follows none.
+    pub fn acted(&self) -> watch::Receiver<u64> {
+        self.acted.clone()
+    }
+
     /// Returns when the gateway cannot go on.
     pub async fn ended(&mut self) -> Result<(), String> {
         (&mut self.hub).await.unwrap_or_else(|error| Err(format!("the hub ended: {error}")))
@@ -76,7 +87,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.accepting.iter().for_each(JoinHandle::abort);
+        self.accepting.iter().chain(&self.following).for_each(JoinHandle::abort);
         self.hub.abort();
     }
 }
@@ -109,9 +120,14 @@
     let hub = hub.keeping(keeper, recalled.flatten());
     let present = Arc::new(ArcSwap::new(settings.clone()));
     let (removing, removed) = watch::channel(0);
-    if let Some(changes) = options.changes {
-        changes::follow(changes, settings.clone(), present.clone(), removing, to_changes, to_hub.downgrade());
-    }
+    let starts_at = options.changes.as_ref().map_or(0, |changes| changes.at().version.number);
+    let (acting, acted) = watch::channel(starts_at);
+    let (mut addresses, mut accepting) = (Vec::new(), Vec::new());
+    let following = options.changes.map(|changes| {
+        let (own, present) = (settings.clone(), present.clone());
+        let told = changes::Told { own, present, removing, acted: acting, to_hub: to_changes };
+        tokio::spawn(changes.follow(told))
+    });
     let shared = Arc::new(session::Shared {
         present: present.clone(),
         removed,
@@ -123,7 +139,6 @@
         patience: longest,
     });
     let places = Arc::new(Semaphore::new(settings.bounds.sessions));
-    let (mut addresses, mut accepting) = (Vec::new(), Vec::new());
     for address in options.listen {
         let listener = TcpListener::bind(address).await?;
         addresses.push(listener.local_addr()?);
@@ -131,7 +146,7 @@
     }
     drop(shared);
     let hub = tokio::spawn(hub.run(from_all, changed, stopping, longest));
-    Ok(Running { addresses, stop, hub, present, accepting })
+    Ok(Running { addresses, stop, hub, present, acted, accepting, following })
 }
 
 /// At the bound on sessions nothing is accepted; clients wait in the system's backlog.
--- /dev/null
+++ b/crates/gateway/tests/relays/common.rs
@@ -0,0 +1,332 @@
+//! A writer, relays and gateways in this process, and stand-ins for relays that are none.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use umbertray_config::{Changes as Source, Upstream};
+use umbertray_gateway::{Changes, Options, Relayed, RelayedError, Relays, Running};
+use umbertray_relay::{RelayError, Running as Relay};
+use umbertray_state::Disk;
+use umbertray_store_wire::changes::{Checkpoint, FromUpstream, Position, ToUpstream, digest};
+use umbertray_store_wire::{Message, next_frame};
+use umbertray_versions::change::Change;
+use umbertray_versions::guard::GUARDS;
+use umbertray_versions::log::{GROWN, Log};
+use umbertray_versions::model::{Configuration, Edit, Key, Kind};
+use umbertray_versions::{Tail, Told};
+
+const SHARED: &str = r#"
+gateway(listen = ["127.0.0.1:0"], list = "127.0.0.1:1")
+op_type("get", target_latency = 0.5, op_timeout = 3.0, utility = 2)
+op_type("put", target_latency = 0.3, op_timeout = 1.0, utility = 2)
+request(["read", "status"], op_type = "get")
+request(["write", "zero", "trim", "flush"], op_type = "put")
+plan("p", rate = 1000)
+volume("vol", size = 16 * MiB, plan = "p", gateways = 2)
+"#;
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A test that waits for ever is a failure that names nothing: it ends here instead.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let ended = tokio::time::timeout(Duration::from_secs(40), future).await;
+    ended.unwrap_or_else(|_| panic!("{what}: not within 40 s; the log:\n{}", lines().join("\n")))
+}
+
+/// A folder of this test's own, emptied first.
+pub fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder for the test");
+    folder
+}
+
+/// The one writer of a log.
+pub struct Writer {
+    pub folder: PathBuf,
+    log: Log,
+}
+
+impl Writer {
+    /// Begins a log of version 1.
+    pub fn begin(folder: &Path) -> Writer {
+        let folder = folder.join("log");
+        let disk = Disk::open(&folder).expect("nobody else has it");
+        let log = Log::open(Box::new(disk), GROWN).expect("a log");
+        let mut writer = Writer { folder, log };
+        let document = umbertray_config::read("shared.star", SHARED.into()).expect("right");
+        let wanted = Configuration::of_calls(&document.calls());
+        writer.commit(Configuration::default().diff(&wanted));
+        writer
+    }
+
+    pub fn commit(&mut self, edits: Vec<Edit>) -> u64 {
+        let base = self.log.head().number;
+        self.log.commit(change(base, edits)).expect("right").version
+    }
+
+    pub fn adds(&mut self, volume: &str) -> u64 {
+        self.commit(vec![added(volume)])
+    }
+
+    /// The log's folder as it is now, under another name.
+    pub fn copy(&self, to: &Path) -> PathBuf {
+        std::fs::create_dir_all(to).expect("room");
+        for file in std::fs::read_dir(&self.folder).expect("there") {
+            let file = file.expect("there");
+            std::fs::copy(file.path(), to.join(file.file_name())).expect("room");
+        }
+        to.into()
+    }
+}
+
+pub fn change(base: u64, edits: Vec<Edit>) -> Change {
+    Change {
+        id: format!("c{base}"),
+        base,
+        actor: "ann".into(),
+        reason: "to see".into(),
+        at: 0,
+        edits,
+        allow: GUARDS.iter().map(|(_, guard)| *guard).collect(),
+    }
+}
+
+pub fn added(volume: &str) -> Edit {
+    sized(volume, 1 << 20)
+}
+
+pub fn sized(volume: &str, size: u64) -> Edit {
+    let fields = json!({ "size": size, "plan": "p", "gateways": 1 });
+    let fields = serde_json::from_value(fields).expect("an object");
+    Edit::Put { key: Key::new(Kind::Volume, volume), fields }
+}
+
+pub fn upstream(name: &str, address: SocketAddr) -> Upstream {
+    Upstream { name: name.into(), zone: "z".into(), address }
+}
+
+pub fn of(name: &str, relay: &Relay) -> Upstream {
+    upstream(name, relay.address)
+}
+
+pub fn relay_options(name: &str, changes: Source) -> umbertray_relay::Options {
+    let (name, zone) = (name.into(), "z".into());
+    umbertray_relay::Options { listen: any_port(), name, zone, changes, folder: None, seed: 1 }
+}
+
+/// One that reads the writer's folder.
+pub async fn top(name: &str, folder: &Path) -> Relay {
+    let changes = Source::Folder(folder.display().to_string());
+    umbertray_relay::start(relay_options(name, changes)).await.expect("it starts")
+}
+
+/// One that reads the writer's folder where another listened: that one's task may be a moment from its end.
+pub async fn back(name: &str, listen: SocketAddr, folder: &Path) -> Relay {
+    let starting = async {
+        loop {
+            let changes = Source::Folder(folder.display().to_string());
+            let options = umbertray_relay::Options { listen, ..relay_options(name, changes) };
+            match umbertray_relay::start(options).await {
+                Err(RelayError::Listen { .. }) => tokio::time::sleep(Duration::from_millis(5)).await,
+                started => return started.expect("it starts"),
+            }
+        }
+    };
+    within("a relay where another listened", starting).await
+}
+
+/// One that follows others.
+pub async fn hop(name: &str, upstreams: Vec<Upstream>, vouch: usize) -> Relay {
+    let changes = Source::Relays { upstreams, vouch };
+    umbertray_relay::start(relay_options(name, changes)).await.expect("it starts")
+}
+
+pub fn relays(name: &str, upstreams: Vec<Upstream>, vouch: usize) -> Relays {
+    let (name, zone, patience) = (name.into(), "z".into(), Duration::from_secs(30));
+    Relays { name, zone, upstreams, vouch, seed: 1, patience, state: None }
+}
+
+pub async fn try_gateway(relays: Relays) -> Result<Running, RelayedError> {
+    let state = relays.state.clone();
+    let relayed = Relayed::start(relays).await?;
+    let document = umbertray_config::read("shared.star", SHARED.into()).expect("right");
+    let settings = relayed.at.version.settings(&document.settings);
+    let options = Options {
+        listen: vec![any_port()],
+        list: SocketAddr::from(([127, 0, 0, 1], 1)),
+        keeper: None,
+        seed: 1,
+        state,
+        changes: Some(Changes::Relays(Box::new(relayed))),
+    };
+    Ok(umbertray_gateway::start(Arc::new(settings), options).await.expect("it listens"))
+}
+
+pub async fn gateway(relays: Relays) -> Running {
+    try_gateway(relays).await.unwrap_or_else(|error| panic!("{error}; the log:\n{}", lines().join("\n")))
+}
+
+pub async fn acts_on(gateway: &Running, version: u64) {
+    let mut acted = gateway.acted();
+    let acting = acted.wait_for(|acted| *acted >= version);
+    within(&format!("acting on version {version}"), acting).await.expect("it runs");
+}
+
+pub fn has(gateway: &Running, volume: &str) -> bool {
+    gateway.exports().iter().any(|known| known == volume)
+}
+
+/// What an honest relay of a folder says that it holds.
+#[derive(Clone)]
+pub struct Held {
+    pub checkpoint: Checkpoint,
+    pub bytes: Bytes,
+    pub head: Position,
+    /// The entries since the checkpoint.
+    pub entries: Vec<(Position, Vec<u8>)>,
+}
+
+/// What the folder holds: the state that its newest segment begins with, and its newest position.
+pub fn held(folder: &Path) -> Held {
+    let (_, told) = Tail::open(&Disk::look(folder)).expect("a log");
+    let at = |told: &Told| Position { version: told.version(), hash: told.hash() };
+    let Some(Told::Whole(head)) = told.first() else { panic!("a checkpoint comes first") };
+    let length = head.checkpoint.len() as u32;
+    let checkpoint = Checkpoint { at: at(&told[0]), digest: digest(&head.checkpoint), length };
+    let bytes = Bytes::copy_from_slice(&head.checkpoint);
+    let entries = told.iter().filter_map(|told| match told {
+        Told::Entry(entry) => Some((at(told), entry.body.clone())),
+        Told::Whole(_) => None,
+    });
+    Held { checkpoint, bytes, head: told.last().map(at).expect("something"), entries: entries.collect() }
+}
+
+/// Waits until a gateway that was dropped has let go of its folder, as the end of a process would.
+pub async fn let_go(state: &Path) {
+    let free = async {
+        while [state.to_path_buf(), state.join("changes")].iter().any(|folder| Disk::open(folder).is_err()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    within("a dropped gateway's folder", free).await;
+}
+
+/// All that this process has logged.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("not poisoned").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+static LOG: OnceLock<Lines> = OnceLock::new();
+
+/// Begins to keep the log; all tests of this process share it.
+pub fn logged() {
+    LOG.get_or_init(|| {
+        let lines = Lines::default();
+        let writer = lines.clone();
+        let subscriber = tracing_subscriber::fmt().json().with_writer(move || writer.clone());
+        subscriber.with_max_level(tracing_subscriber::filter::LevelFilter::INFO).init();
+        lines
+    });
+}
+
+fn lines() -> Vec<String> {
+    let Some(lines) = LOG.get() else { return Vec::new() };
+    let bytes = lines.0.lock().expect("not poisoned").clone();
+    String::from_utf8_lossy(&bytes).lines().map(str::to_string).collect()
+}
+
+/// Waits for a line of the log with these fields.
+pub async fn said(fields: &[(&str, &str)]) {
+    let fits = |line: &String| {
+        let line: Value = serde_json::from_str(line).unwrap_or_default();
+        fields.iter().all(|(name, value)| {
+            let said = &line["fields"][name];
+            said.as_str().map_or_else(|| said.to_string(), str::to_string).contains(value)
+        })
+    };
+    let waiting = async {
+        while !lines().iter().any(fits) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    within(&format!("a line with {fields:?}"), waiting).await;
+}
+
+/// A connection that speaks frames, whoever has the other end.
+pub struct Wire {
+    pub stream: TcpStream,
+    input: BytesMut,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Wire {
+        Wire { stream, input: BytesMut::new() }
+    }
+
+    pub async fn to(address: SocketAddr) -> Wire {
+        Wire::new(TcpStream::connect(address).await.expect("it listens"))
+    }
+
+    pub async fn send(&mut self, frame: impl Message) {
+        // Whoever has left does not hear it.
+        _ = self.stream.write_all(&frame.frame()).await;
+    }
+
+    /// The next frame; nothing once the connection has ended.
+    pub async fn next<M: Message>(&mut self) -> Option<M> {
+        loop {
+            if let Some(frame) = next_frame(&mut self.input).expect("frames") {
+                return Some(frame);
+            }
+            match self.stream.read_buf(&mut self.input).await {
+                Ok(0) | Err(_) => return None,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// The next that is looked for; what else is said is passed over.
+    pub async fn until<T>(&mut self, what: &str, wanted: impl Fn(&FromUpstream) -> Option<T>) -> T {
+        let looking = async {
+            loop {
+                let frame = self.next::<FromUpstream>().await.expect("it is open");
+                if let Some(found) = wanted(&frame) {
+                    return found;
+                }
+            }
+        };
+        within(what, looking).await
+    }
+
+    /// Reads until the other end has closed.
+    pub async fn ends(&mut self) {
+        within("the end of a connection", async { while self.next::<FromUpstream>().await.is_some() {} })
+            .await;
+    }
+
+    pub async fn hello(address: SocketAddr, name: &str) -> Wire {
+        let mut wire = Wire::to(address).await;
+        let role = umbertray_store_wire::changes::Role::Gateway;
+        wire.send(ToUpstream::Hello { name: name.into(), zone: "z".into(), role }).await;
+        wire
+    }
+}
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -265,7 +265,8 @@
             !self.day.changes || ["gateway", "bounds"].contains(&call.function)
         };
         if self.day.changes {
-            document.changes = Some(std::path::absolute(self.log())?.display().to_string());
+            let folder = std::path::absolute(self.log())?.display().to_string();
+            document.changes = Some(umbertray_config::Changes::Folder(folder));
         }
         let script: String =
             document.calls().iter().filter(own).map(|call| call.as_script() + "\n").collect();
--- /dev/null
+++ b/crates/relay/src/hub.rs
@@ -0,0 +1,344 @@
+//! The loop that hosts a node: one task, which alone touches it, and which owns all connections.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, MissedTickBehavior};
+use umbertray_clock::Clock;
+use umbertray_config::Upstream;
+use umbertray_fleet::LinkId;
+use umbertray_fleet::relay::{Action, Entry, Event, HEARTBEAT, Left, Node, Note, TICK};
+use umbertray_store_wire::changes::{FromUpstream, Position, Status, ToUpstream};
+use umbertray_versions::Told;
+use umbertray_versions::chain::{self, Head};
+
+use crate::MOST_FOLLOWERS;
+use crate::link::{self, Ear, Ended};
+
+/// Messages on their way to the hub; the connections wait beyond it.
+const TO_HUB: usize = 256;
+/// So many messages are taken at a time.
+const TURN: usize = 64;
+/// Bytes that wait to be put in force; beyond them nothing more is read, and the upstream sees that.
+const PENDING: usize = 16 << 20;
+/// The next connection is accepted so long after one could not be: out of descriptors, most likely.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
+
+pub enum ToHub {
+    Event(Event),
+    Folder(Vec<Told>),
+}
+
+/// What the owner of a hub holds of it.
+pub struct Ends {
+    /// What is to be put in force, in order.
+    pub told: mpsc::Receiver<Vec<Told>>,
+    /// Up to which version it is.
+    pub in_force: mpsc::Sender<u64>,
+    pub folder: mpsc::Sender<ToHub>,
+}
+
+enum Peer {
+    Upstream(link::Sender<ToUpstream>),
+    Follower(link::Sender<FromUpstream>),
+}
+
+struct Link {
+    address: SocketAddr,
+    peer: Peer,
+    task: AbortHandle,
+}
+
+pub struct Hub {
+    node: Node,
+    clock: Clock,
+    upstreams: Vec<SocketAddr>,
+    listener: Option<TcpListener>,
+    /// Those that are open; what is still heard of others counts for nothing.
+    links: HashMap<LinkId, Link>,
+    /// All connections, also those that are being closed.
+    tasks: JoinSet<()>,
+    accepted: u64,
+    to_hub: mpsc::Sender<ToHub>,
+    from_all: mpsc::Receiver<ToHub>,
+    /// To be in force with what comes before it is.
+    built: Vec<Told>,
+    /// To be put in force, and not given out yet.
+    pending: Vec<Told>,
+    pending_bytes: usize,
+    to_owner: mpsc::Sender<Vec<Told>>,
+    in_force: mpsc::Receiver<u64>,
+}
+
+impl Hub {
+    pub fn new(node: Node, upstreams: &[Upstream], listener: Option<TcpListener>) -> (Hub, Ends) {
+        let (to_hub, from_all) = mpsc::channel(TO_HUB);
+        let (to_owner, told) = mpsc::channel(1);
+        let (told_back, in_force) = mpsc::channel(1);
+        let ends = Ends { told, in_force: told_back, folder: to_hub.clone() };
+        let hub = Hub {
+            node,
+            clock: Clock::start(),
+            upstreams: upstreams.iter().map(|upstream| upstream.address).collect(),
+            listener,
+            links: HashMap::new(),
+            tasks: JoinSet::new(),
+            accepted: 0,
+            to_hub,
+            from_all,
+            built: Vec::new(),
+            pending: Vec::new(),
+            pending_bytes: 0,
+            to_owner,
+            in_force,
+        };
+        (hub, ends)
+    }
+
+    /// Runs until its owner lets go of what it is told.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let to_owner = self.to_owner.clone();
+        let (mut messages, mut accept_at) = (Vec::with_capacity(TURN), Instant::now());
+        loop {
+            let accepting = self.listener.is_some() && self.tasks.len() < MOST_FOLLOWERS;
+            // Each of these that another branch cancels has taken nothing: a message, connection or place stays where it was.
+            tokio::select! {
+                _ = ticks.tick() => self.handle(Event::Woken),
+                Some(version) = self.in_force.recv() => self.handle(Event::InForce(version)),
+                place = to_owner.reserve(), if !self.pending.is_empty() => match place {
+                    Ok(place) => {
+                        place.send(std::mem::take(&mut self.pending));
+                        self.pending_bytes = 0;
+                    }
+                    Err(_) => return,
+                },
+                _ = self.from_all.recv_many(&mut messages, TURN), if self.pending_bytes < PENDING => {
+                    messages.drain(..).for_each(|message| self.heard(message));
+                }
+                accepted = accept(self.listener.as_ref(), accept_at), if accepting => match accepted {
+                    Ok((stream, peer)) => self.accepted(stream, peer),
+                    Err(error) => {
+                        tracing::warn!(%error, "no follower accepted");
+                        accept_at = Instant::now() + ACCEPT_AGAIN;
+                    }
+                },
+                Some(_) = self.tasks.join_next() => {}
+                () = to_owner.closed() => return,
+            }
+        }
+    }
+
+    fn heard(&mut self, message: ToHub) {
+        match message {
+            ToHub::Folder(told) => folder_events(told).into_iter().for_each(|event| self.handle(event)),
+            ToHub::Event(Event::Asked { link, frame: ToUpstream::Status }) => {
+                let status = FromUpstream::Status(self.status());
+                self.act(Action::Say { link, frame: status });
+            }
+            ToHub::Event(event) => {
+                let link = link_of(&event);
+                if link.is_none_or(|link| self.links.contains_key(&link)) {
+                    if let (Some(link), Event::Closed(_) | Event::Left(_)) = (link, &event) {
+                        self.links.remove(&link);
+                    }
+                    self.handle(event);
+                }
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let standing = self.node.standing(self.clock.now());
+        Status {
+            name: self.node.config().name.clone(),
+            head: standing.head,
+            path: standing.path,
+            followers: standing.followers as u32,
+            held: standing.held_bytes as u64,
+            sums: standing.sums,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let actions = self.node.handle(self.clock.now(), event);
+        actions.into_iter().for_each(|action| self.act(action));
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Connect { upstream, link } => self.connect(upstream, link),
+            Action::Close { link, why } => self.close(link, why),
+            Action::Tell { link, frame } => {
+                if let Some(Link { peer: Peer::Upstream(peer), .. }) = self.links.get(&link) {
+                    let room = peer.send(frame);
+                    self.unless_full(link, room);
+                }
+            }
+            Action::Say { link, frame } => {
+                if let Some(Link { peer: Peer::Follower(peer), .. }) = self.links.get(&link) {
+                    let room = peer.send(frame);
+                    self.unless_full(link, room);
+                }
+            }
+            Action::Adopt { at: Position { version, hash }, checkpoint } => {
+                let head = Head { version, hash, checkpoint: checkpoint.to_vec(), done: VecDeque::new() };
+                self.give(Told::Whole(head), checkpoint.len());
+            }
+            Action::Act(Entry { at: Position { version, hash }, body }) => {
+                let entry = chain::Entry { version, hash, body: body.to_vec() };
+                self.give(Told::Entry(entry), body.len());
+            }
+            Action::Enforce(_) => self.pending.append(&mut self.built),
+            Action::Note(note) => say(note),
+        }
+    }
+
+    fn give(&mut self, told: Told, bytes: usize) {
+        self.built.push(told);
+        self.pending_bytes += bytes;
+    }
+
+    /// A peer that leaves so much unread is cut off: its task ends, and says that it did.
+    fn unless_full(&mut self, link: LinkId, taken: bool) {
+        if let Some(end) = self.links.get(&link).filter(|_| !taken) {
+            end.task.abort();
+            Ended::Stuck.say(end.address);
+            let event = match end.peer {
+                Peer::Upstream(_) => Event::Closed(link),
+                Peer::Follower(_) => Event::Left(link),
+            };
+            self.links.remove(&link);
+            self.handle(event);
+        }
+    }
+
+    fn connect(&mut self, upstream: usize, link: LinkId) {
+        let Some(address) = self.upstreams.get(upstream).copied() else { return };
+        let (to_peer, unsent) = link::channel();
+        let to_hub = self.to_hub.clone();
+        let task = self.tasks.spawn(async move {
+            let ended = match link::connect(address).await {
+                Ok(stream) => {
+                    _ = to_hub.send(ToHub::Event(Event::Opened(link))).await;
+                    let heard = |frame| Event::Heard { link, frame };
+                    link::run(stream, unsent, Ear { link, peer: address, to_hub: &to_hub }, heard).await
+                }
+                Err(error) => error.into(),
+            };
+            ended.say(address);
+            _ = to_hub.send(ToHub::Event(Event::Closed(link))).await;
+        });
+        self.links.insert(link, Link { address, peer: Peer::Upstream(to_peer), task });
+    }
+
+    fn accepted(&mut self, stream: TcpStream, address: SocketAddr) {
+        self.accepted += 1;
+        let link = LinkId(self.accepted);
+        let (to_peer, unsent) = link::channel();
+        let to_hub = self.to_hub.clone();
+        let task = self.tasks.spawn(async move {
+            let asked = |frame| Event::Asked { link, frame };
+            let ear = Ear { link, peer: address, to_hub: &to_hub };
+            let ended = link::run(stream, unsent, ear, asked).await;
+            ended.say(address);
+            _ = to_hub.send(ToHub::Event(Event::Left(link))).await;
+        });
+        self.links.insert(link, Link { address, peer: Peer::Follower(to_peer), task });
+        self.handle(Event::Accepted(link));
+    }
+
+    /// Lets go of a connection: its task sends what it was given, and is ended if that takes too long.
+    fn close(&mut self, link: LinkId, why: Left) {
+        let Some(Link { address, peer, task }) = self.links.remove(&link) else { return };
+        match why {
+            Left::Spare => tracing::debug!(peer = %address, reason = %why, "connection closed"),
+            _ => tracing::warn!(peer = %address, reason = %why, "connection closed"),
+        }
+        drop(peer);
+        self.tasks.spawn(async move {
+            tokio::time::sleep(HEARTBEAT).await;
+            task.abort();
+        });
+    }
+}
+
+async fn accept(listener: Option<&TcpListener>, from: Instant) -> std::io::Result<(TcpStream, SocketAddr)> {
+    tokio::time::sleep_until(from).await;
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn link_of(event: &Event) -> Option<LinkId> {
+    match event {
+        Event::Opened(link)
+        | Event::Closed(link)
+        | Event::Accepted(link)
+        | Event::Left(link)
+        | Event::Malformed(link) => Some(*link),
+        Event::Heard { link, .. } | Event::Asked { link, .. } => Some(*link),
+        Event::FolderCheckpoint { .. } | Event::FolderEntries(_) | Event::InForce(_) | Event::Woken => None,
+    }
+}
+
+/// Entries between two checkpoints are one event.
+fn folder_events(told: Vec<Told>) -> Vec<Event> {
+    let mut events = Vec::new();
+    for told in told {
+        let at = Position { version: told.version(), hash: told.hash() };
+        match told {
+            Told::Whole(head) => events.push(Event::FolderCheckpoint { at, bytes: head.checkpoint.into() }),
+            Told::Entry(entry) => {
+                let entry = Entry { at, body: entry.body.into() };
+                match events.last_mut() {
+                    Some(Event::FolderEntries(entries)) => entries.push(entry),
+                    _ => events.push(Event::FolderEntries(vec![entry])),
+                }
+            }
+        }
+    }
+    events
+}
+
+fn say(note: Note) {
+    match note {
+        Note::Follows { upstream, after } => tracing::info!(upstream, after = after.version, "follows"),
+        Note::Left { upstream, why, wait } => {
+            tracing::warn!(upstream, reason = %why, wait_s = wait.as_secs_f64(), "upstream left");
+        }
+        Note::Loop { upstream, path } => tracing::error!(upstream, ?path, "loop of relays: refused"),
+        Note::Disagree { upstream, version } => {
+            tracing::error!(
+                upstream,
+                version,
+                "upstreams tell different histories: one lies, or follows another log"
+            );
+        }
+        Note::OtherHistory { version } => {
+            tracing::error!(
+                version,
+                "what upstreams agree on is not what was acted on: the log was replaced, or they lie"
+            );
+        }
+        Note::FolderBroken { version } => {
+            tracing::error!(version, "the folder does not go on from what is held: nothing of it is taken");
+        }
+        Note::Unvouched { version } => {
+            tracing::warn!(version, "no checkpoint is told by enough upstreams");
+        }
+        Note::Adopted { at, from } => tracing::info!(version = at.version, from, "checkpoint adopted"),
+        Note::Behind { follower, after } => tracing::info!(follower, after, "follower needs a checkpoint"),
+        Note::FollowerLeft { follower, why } => tracing::warn!(follower, reason = %why, "follower left"),
+        Note::Nonsense { follower, what } => tracing::warn!(follower, what, "sums left out"),
+        Note::Outgrown { version } => {
+            tracing::warn!(version, "the log has outgrown what is held since its checkpoint");
+        }
+    }
+}
--- a/crates/versions/src/chain.rs
+++ b/crates/versions/src/chain.rs
@@ -328,6 +328,22 @@
         Ok(())
     }
 
+    /// Begins a new segment with a state further on, of a log that this one is a copy of.
+    pub fn adopt(&mut self, head: Head) -> io::Result<()> {
+        self.ready()?;
+        self.end = End::Doubtful;
+        let (version, hash) = (head.version, head.hash);
+        self.begin(head)?;
+        (self.version, self.hash, self.end) = (version, hash, End::Sound);
+        Ok(())
+    }
+
+    /// Removes all segments but the newest: a copy has what was before elsewhere.
+    pub fn forget_earlier(&mut self) -> io::Result<()> {
+        let earlier = segments(&*self.layer, self.kind)?.into_iter().filter(|first| *first < self.since);
+        earlier.into_iter().try_for_each(|first| self.layer.remove(&self.kind.name(first)))
+    }
+
     fn write(&mut self, body: Vec<u8>) -> io::Result<Hash> {
         let hash = chained(&self.hash, &body);
         let bytes = record(&Item::Change { body, hash }).ok_or(io::ErrorKind::FileTooLarge)?;
--- a/crates/versions/src/follow.rs
+++ b/crates/versions/src/follow.rs
@@ -1,12 +1,17 @@
-//! A gateway's reading of the log: it acts on what is safely committed, in order, and never goes back.
+//! Following the log, from its folder or as others tell of it: what is safely committed, in order, and never back.
+//!
+//! [`Tail`] reads a folder and knows nothing of what entries mean; [`Replica`] acts on what it is told, wherever that came
+//! from; [`Follower`] is both.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 
 use umbertray_state::Layer;
 use umbertray_state::format::MOST_FILE;
 
-use crate::log::{LogError, Segment, checkpoint, read_segment, replay, segments};
-use crate::segment::{Broken, Hash, Past, Reader, name};
+use crate::chain::{self, Entry, Read, chained};
+use crate::log::{LogError, checkpoint, replay, segments};
+use crate::segment::{Broken, CHANGES, Hash, Head, Past, Reader, name};
 use crate::version::{Step, Version};
 
 /// Why a log is not followed. The gateway goes on with what it has.
@@ -31,124 +36,222 @@
     }
 }
 
-/// Where a gateway is in the log.
-pub struct Follower {
-    pub version: Version,
-    pub hash: Hash,
+/// What comes next in a history. All of it is safely committed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Entry(Entry),
+    /// The state at a version, where the entries before it are not to be had.
+    Whole(Head),
+}
+
+impl Told {
+    pub fn version(&self) -> u64 {
+        match self {
+            Told::Entry(entry) => entry.version,
+            Told::Whole(head) => head.version,
+        }
+    }
+
+    pub fn hash(&self) -> Hash {
+        match self {
+            Told::Entry(entry) => entry.hash,
+            Told::Whole(head) => head.hash,
+        }
+    }
+}
+
+/// Where a reader is in the log of a folder.
+pub struct Tail {
+    version: u64,
+    hash: Hash,
     segment: u64,
     reader: Reader,
     /// Read, but not said to be safe yet.
-    waiting: Vec<Past>,
+    waiting: VecDeque<Entry>,
 }
 
-impl Follower {
-    /// Reads the newest segment up to what is safe. `acted` is what an earlier run had acted on: nothing before it is
-    /// taken.
-    pub fn open(layer: &dyn Layer, acted: Option<(u64, Hash)>) -> Result<Follower, NotFollowed> {
+impl Tail {
+    /// Reads the newest segment: the state that it begins with, and what of it is safe.
+    pub fn open(layer: &dyn Layer) -> Result<(Tail, Vec<Told>), NotFollowed> {
         let newest = *segments(layer)?.last().ok_or(NotFollowed::Empty)?;
-        let segment = read_segment(layer, newest)?;
-        let broken = |why| NotFollowed::Log(LogError::Broken { file: name(newest), why });
-        let version = checkpoint(&segment.head).map_err(broken)?;
-        let (hash, reader) = (segment.head.hash, segment.reader);
-        let mut follower = Follower { version, hash, segment: newest, reader, waiting: segment.entries };
-        let mut known =
-            (follower.version.number == newest).then_some((newest, hash)).into_iter().collect::<Vec<_>>();
-        known.extend(follower.waiting.iter().map(|past| (past.version, past.hash)));
-        follower.take_safe()?;
-        if follower.version.number == 0 {
-            return Err(NotFollowed::Empty);
-        }
-        if let Some((have, hash)) = acted {
-            let found = follower.version.number;
-            if found < have {
-                return Err(NotFollowed::Older { have, found });
-            }
-            if known.iter().any(|(version, other)| *version == have && *other != hash) {
-                return Err(NotFollowed::Other(have));
-            }
+        let chain::Segment { head, reader, entries, .. } = chain::read_segment(layer, &CHANGES, newest)?;
+        let (version, hash, waiting) = (head.version, head.hash, VecDeque::from(entries));
+        let mut tail = Tail { version, hash, segment: newest, reader, waiting };
+        let mut told = vec![Told::Whole(head)];
+        told.extend(tail.safe());
+        if tail.version == 0 { Err(NotFollowed::Empty) } else { Ok((tail, told)) }
+    }
+
+    /// What was committed since the last look. Where that ends in trouble, what came before it is told first.
+    pub fn poll(&mut self, layer: &dyn Layer) -> Result<Vec<Told>, NotFollowed> {
+        let mut told = Vec::new();
+        match self.read_to_end(layer, &mut told) {
+            Err(error) if told.is_empty() => Err(error),
+            _ => Ok(told),
         }
-        Ok(follower)
     }
 
-    /// What was committed since the last look: a version and what to do about it, one after another.
-    pub fn poll(&mut self, layer: &dyn Layer) -> Result<Vec<(Version, Vec<Step>)>, NotFollowed> {
-        let newer = |layer: &dyn Layer, than| {
-            Ok::<_, NotFollowed>(segments(layer)?.into_iter().find(|first| *first > than))
-        };
-        let mut taken = match self.read_on(layer) {
-            // Its segment was put away while this gateway did not look: a newer one tells the rest.
+    fn read_to_end(&mut self, layer: &dyn Layer, told: &mut Vec<Told>) -> Result<(), NotFollowed> {
+        let newer = |than| Ok::<_, NotFollowed>(segments(layer)?.into_iter().find(|first| *first > than));
+        match self.read_on(layer) {
+            // Its segment was put away while nobody looked: a newer one tells the rest.
             Err(NotFollowed::Log(LogError::Disk(error)))
-                if error.kind() == ErrorKind::NotFound && newer(layer, self.segment)?.is_some() =>
-            {
-                Vec::new()
-            }
-            read => read?,
-        };
+                if error.kind() == ErrorKind::NotFound && newer(self.segment)?.is_some() => {}
+            read => told.extend(read?),
+        }
         // A segment that begins where this one ends goes on from here.
-        while let Some(next) = newer(layer, self.segment)? {
-            let segment = read_segment(layer, next)?;
-            self.reach(&segment, &mut taken)?;
-            self.enter(segment)?;
-            taken.extend(self.read_on(layer)?);
+        while let Some(next) = newer(self.segment)? {
+            let segment = chain::read_segment(layer, &CHANGES, next)?;
+            self.enter(segment, told)?;
+            told.extend(self.read_on(layer)?);
         }
-        Ok(taken)
+        Ok(())
     }
 
-    fn read_on(&mut self, layer: &dyn Layer) -> Result<Vec<(Version, Vec<Step>)>, NotFollowed> {
+    fn read_on(&mut self, layer: &dyn Layer) -> Result<Vec<Told>, NotFollowed> {
         let file = name(self.segment);
         let bytes = layer.read_on(&file, self.reader.read, MOST_FILE)?;
-        let fed = self.reader.feed(&bytes);
-        let changes = fed.map_err(|why| LogError::Broken { file, why })?;
-        self.waiting.extend(changes);
-        self.take_safe()
+        let fed = self.reader.feed::<Entry>(&bytes);
+        self.waiting.extend(fed.map_err(|why| LogError::Broken { file, why })?);
+        Ok(self.safe())
     }
 
-    fn take_safe(&mut self) -> Result<Vec<(Version, Vec<Step>)>, NotFollowed> {
-        let safe = self.reader.safe;
-        self.take_up_to(safe)
+    fn safe(&mut self) -> Vec<Told> {
+        self.up_to(self.reader.safe)
     }
 
-    fn take_up_to(&mut self, last: u64) -> Result<Vec<(Version, Vec<Step>)>, NotFollowed> {
-        let count = self.waiting.iter().take_while(|past| past.version <= last).count();
-        let mut taken = Vec::new();
-        for past in self.waiting.drain(..count) {
-            let broken = |why| LogError::Broken { file: name(self.segment), why };
-            let (version, steps) = replay(&self.version, &past).map_err(broken)?;
-            (self.version, self.hash) = (version.clone(), past.hash);
-            taken.push((version, steps));
+    fn up_to(&mut self, last: u64) -> Vec<Told> {
+        let count = self.waiting.iter().take_while(|entry| entry.version <= last).count();
+        let taken: Vec<Entry> = self.waiting.drain(..count).collect();
+        if let Some(entry) = taken.last() {
+            (self.version, self.hash) = (entry.version, entry.hash);
         }
-        Ok(taken)
+        taken.into_iter().map(Told::Entry).collect()
     }
 
-    /// A new segment is safe with all before it: what this one still has up to there is taken, or, where the segment in
-    /// between is gone, the difference.
-    fn reach(&mut self, segment: &Segment, taken: &mut Vec<(Version, Vec<Step>)>) -> Result<(), NotFollowed> {
-        let next = segment.head.version;
-        taken.extend(self.take_up_to(next)?);
-        if self.version.number >= next {
-            return Ok(());
+    /// A new segment is safe with all before it: what this one still has up to there is told, and the state, which those who
+    /// have that much know.
+    fn enter(&mut self, segment: chain::Segment, told: &mut Vec<Told>) -> Result<(), NotFollowed> {
+        let chain::Segment { head, reader, entries, .. } = segment;
+        told.extend(self.up_to(head.version));
+        // What was told under that number must be what the log has there.
+        if head.version == self.version && head.hash != self.hash {
+            return Err(NotFollowed::Other(head.version));
         }
-        let broken = |why| LogError::Broken { file: name(next), why };
-        let there = checkpoint(&segment.head).map_err(broken)?;
-        let edits = self.version.configuration.diff(&there.configuration);
+        self.segment = head.version;
+        self.reader = reader;
+        if self.version <= head.version {
+            (self.version, self.hash) = (head.version, head.hash);
+            told.push(Told::Whole(head));
+        }
+        let after = self.version;
+        self.waiting = entries.into_iter().filter(|entry| entry.version > after).collect();
+        Ok(())
+    }
+}
+
+/// A version and what a gateway does about it.
+pub type Taken = (Version, Vec<Step>);
+
+/// One who acts on the log: what of it, and its place in the chain.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub version: Version,
+    pub hash: Hash,
+}
+
+impl Replica {
+    pub fn read(head: &Head) -> Result<Replica, Broken> {
+        Ok(Replica { version: checkpoint(head)?, hash: head.hash })
+    }
+
+    /// Takes what comes next; nothing where it was known. What does not follow on what was acted on, or is wrong, is not taken,
+    /// and nothing changes.
+    pub fn take(&mut self, told: &Told) -> Result<Option<Taken>, Broken> {
+        let have = self.version.number;
+        let (version, steps) = match told {
+            Told::Entry(entry) if entry.version < have => return Ok(None),
+            Told::Entry(entry) if entry.version == have && entry.hash == self.hash => return Ok(None),
+            Told::Entry(entry) => {
+                if entry.version != have + 1 || entry.hash != chained(&self.hash, &entry.body) {
+                    return Err(Broken::Chain(entry.version));
+                }
+                replay(&self.version, &Past::of(entry.clone())?)?
+            }
+            Told::Whole(head) if head.version > have => self.reach(head)?,
+            Told::Whole(head) if head.version == have && head.hash != self.hash => {
+                return Err(Broken::Chain(have));
+            }
+            Told::Whole(_) => return Ok(None),
+        };
+        (self.version, self.hash) = (version.clone(), told.hash());
+        Ok(Some((version, steps)))
+    }
+
+    /// The step to a state that lies any number of changes ahead: places stay.
+    fn reach(&self, head: &Head) -> Result<Taken, Broken> {
+        let edits = self.version.configuration.diff(&checkpoint(head)?.configuration);
         let wrong =
-            |problems: Vec<String>| broken(Broken::Wrong { version: next, what: problems.join("; ") });
+            |problems: Vec<String>| Broken::Wrong { version: head.version, what: problems.join("; ") };
         let (mut version, steps) = self.version.next(&edits).map_err(wrong)?;
-        version.number = next;
-        (self.version, self.hash) = (version.clone(), segment.head.hash);
-        taken.push((version, steps));
-        Ok(())
+        version.number = head.version;
+        Ok((version, steps))
+    }
+}
+
+/// A gateway's reading of a folder.
+pub struct Follower {
+    pub at: Replica,
+    tail: Tail,
+    /// Told and not taken yet: what is wrong stands first.
+    pending: VecDeque<Told>,
+}
+
+impl Follower {
+    /// Reads the newest segment up to what is safe. `acted` is what an earlier run had acted on: nothing before it is
+    /// taken.
+    pub fn open(layer: &dyn Layer, acted: Option<(u64, Hash)>) -> Result<Follower, NotFollowed> {
+        let (tail, told) = Tail::open(layer)?;
+        let file = name(tail.segment);
+        let broken = |why| NotFollowed::Log(LogError::Broken { file: file.clone(), why });
+        let mut known: Vec<(u64, Hash)> = told.iter().map(|told| (told.version(), told.hash())).collect();
+        known.extend(tail.waiting.iter().map(|entry| (entry.version, entry.hash)));
+        let mut told = told.into_iter();
+        let Some(Told::Whole(head)) = told.next() else { return Err(NotFollowed::Empty) };
+        let mut at = Replica::read(&head).map_err(broken)?;
+        for next in told {
+            at.take(&next).map_err(broken)?;
+        }
+        if let Some((have, hash)) = acted {
+            let found = at.version.number;
+            if found < have {
+                return Err(NotFollowed::Older { have, found });
+            }
+            if known.iter().any(|(version, other)| *version == have && *other != hash) {
+                return Err(NotFollowed::Other(have));
+            }
+        }
+        Ok(Follower { at, tail, pending: VecDeque::new() })
     }
 
-    fn enter(&mut self, segment: Segment) -> Result<(), NotFollowed> {
-        let first = segment.head.version;
-        // What this gateway acted on under that number must be what the log has there.
-        if first == self.version.number && segment.head.hash != self.hash {
-            return Err(NotFollowed::Other(first));
+    /// What was committed since the last look: a version and what to do about it, one after another. Where that ends in
+    /// trouble, what came before it is taken first.
+    pub fn poll(&mut self, layer: &dyn Layer) -> Result<Vec<Taken>, NotFollowed> {
+        // What is wrong stays so, and nothing after it is looked at.
+        if self.pending.is_empty() {
+            self.pending.extend(self.tail.poll(layer)?);
         }
-        let after = self.version.number;
-        (self.segment, self.reader) = (first, segment.reader);
-        self.waiting = segment.entries.into_iter().filter(|past| past.version > after).collect();
-        Ok(())
+        let mut taken = Vec::new();
+        while let Some(told) = self.pending.front() {
+            match self.at.take(told) {
+                Ok(step) => taken.extend(step),
+                Err(why) if taken.is_empty() => {
+                    return Err(LogError::Broken { file: name(self.tail.segment), why }.into());
+                }
+                Err(_) => break,
+            }
+            self.pending.pop_front();
+        }
+        Ok(taken)
     }
 }
--- a/crates/versions/tests/log.rs
+++ b/crates/versions/tests/log.rs
@@ -201,7 +201,7 @@
             disk.trouble(step, Trouble::Crash);
             let done = commit_all(&disk, 1, 9);
             // What a gateway reads through the same page cache when the machine is about to stop.
-            let acted = Follower::open(&disk.seen(), None).map_or(0, |follower| follower.version.number);
+            let acted = Follower::open(&disk.seen(), None).map_or(0, |follower| follower.at.version.number);
             let found = disk.after_crash(seed * 1000 + step);
             let log = Log::open(Box::new(found.clone()), 700).expect("a log after a crash");
             let head = log.head().number;
@@ -209,7 +209,7 @@
             assert!(acted <= head, "step {step}: acted on {acted}, {head} is left");
             drop(log);
             assert_eq!(log::verify(&found).expect("whole"), head);
-            let follower = Follower::open(&found, None).map_or(0, |follower| follower.version.number);
+            let follower = Follower::open(&found, None).map_or(0, |follower| follower.at.version.number);
             assert_eq!(follower, head, "step {step}: all is marked safe once a writer has been there");
             assert_eq!(commit_all(&found, 100, 3).max(head), head.max(1) + 3);
         }
@@ -346,7 +346,7 @@
             assert_eq!(log::verify(&disk).expect("whole again"), head, "cut at {cut}");
             // Whoever acted on more says so, and does not go back.
             let acted = Some((10, [7; 32]));
-            let followed = Follower::open(&disk, acted).map(|follower| follower.version.number);
+            let followed = Follower::open(&disk, acted).map(|follower| follower.at.version.number);
             assert!(
                 matches!(
                     followed,
@@ -469,7 +469,7 @@
     steps.extend(follower.poll(&disk).expect("whole"));
     let numbers: Vec<u64> = steps.iter().map(|(version, _)| version.number).collect();
     assert_eq!(numbers, (2..=31).collect::<Vec<_>>());
-    assert_eq!(follower.version.configuration.bytes(), log.head().configuration.bytes());
+    assert_eq!(follower.at.version.configuration.bytes(), log.head().configuration.bytes());
     assert_eq!(steps[0].1, [Step::Volume(1)]);
     // One that was away while segments went finds the difference, and keeps its places.
     let mut away =
@@ -481,11 +481,11 @@
         .expect("room");
     let caught_up = away.poll(&newest).expect("whole");
     assert_eq!(caught_up.last().map(|(version, _)| version.number), Some(31));
-    assert_eq!(away.version.configuration.bytes(), log.head().configuration.bytes());
+    assert_eq!(away.at.version.configuration.bytes(), log.head().configuration.bytes());
     // Its log is put back to what it was: it keeps what it has.
     let past: Past = log::history(&disk, 29).expect("whole").remove(0);
     assert_eq!(past.version, 30);
-    let acted = Some((31, follower.hash));
+    let acted = Some((31, follower.at.hash));
     assert!(matches!(
         Follower::open(&with(&one_segment()), acted),
         Err(NotFollowed::Older { have: 31, found: 10 })
