Put relays between the folder and the gateways of a scale run

`--relay-fault killed|stopped` takes one relay of each zone away a third into the measured time. A line of role `relay` has their processor time and memory; bytes over relays' links are not counted at sockets. What a worker prepares a gateway with waits now, as a gateway that follows relays does for its first checkpoint.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -1,6 +1,6 @@
 //! `umbertray scale`: what a fleet's size costs each of its members.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -8,6 +8,7 @@
 use umbertray_scale::moments::moments;
 use umbertray_scale::plan::{Limits, Plan, demand};
 use umbertray_scale::point::{Line, Setup};
+use umbertray_scale::relays::Fault;
 use umbertray_scale::report::Out;
 use umbertray_scale::sweep::{Factor, once, refit, sweep};
 
@@ -40,6 +41,12 @@
     /// Restarts of gateways an hour, in the whole fleet.
     #[arg(long, default_value_t = 0.0)]
     restarts: f64,
+    /// Relays in each of six zones, besides three that read the folder; without them gateways read the folder.
+    #[arg(long, default_value_t = 0)]
+    relays: u32,
+    /// What becomes of one relay in each zone a third into the measured time: killed, or stopped for another third.
+    #[arg(long, requires = "relays", value_name = "killed|stopped")]
+    relay_fault: Option<Fault>,
     /// Factors to sweep one after another: stores, gateways, changes, restarts, volumes.
     #[arg(long, value_delimiter = ',')]
     factors: Vec<Factor>,
@@ -91,6 +98,8 @@
             restarts_per_hour: self.restarts,
             seconds: self.seconds,
             seed: self.seed,
+            relays: self.relays,
+            fault: self.relay_fault,
         }
     }
 
@@ -204,5 +213,8 @@
 }
 
 pub async fn worker() -> Result<(), String> {
-    umbertray_scale::worker::run(Arc::new(|file: &Path| serve::prepare(file))).await
+    umbertray_scale::worker::run(Arc::new(|file: PathBuf| {
+        Box::pin(async move { serve::prepare(&file).await })
+    }))
+    .await
 }
--- a/crates/cli/tests/sockets/scale.rs
+++ b/crates/cli/tests/sockets/scale.rs
@@ -30,6 +30,8 @@
         restarts_per_hour: 0.0,
         seconds: 0.5,
         seed: 1,
+        relays: 0,
+        fault: None,
     }
 }
 
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -1,7 +1,8 @@
 //! Gateways of one process, without clients: the product's own, looked on where its loop hosts its core.
 
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -14,7 +15,8 @@
 use crate::script;
 
 /// Reads a gateway's script as the program does.
-pub type Prepare = dyn Fn(&Path) -> Result<(Arc<Settings>, Options), String> + Send + Sync;
+pub type Prepare = dyn Fn(PathBuf) -> Prepared + Send + Sync;
+type Prepared = Pin<Box<dyn Future<Output = Result<(Arc<Settings>, Options), String>> + Send>>;
 
 /// A gateway has acted on a version: its core has taken it in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,7 +143,7 @@
     /// Starts a gateway, or starts it again, as a restarted process would: with the folder it had.
     pub async fn start(&mut self, gateway: u32, file: PathBuf) -> Result<(), String> {
         self.stop(gateway).await?;
-        let (settings, options) = tokio::task::block_in_place(|| (self.prepare)(&file))?;
+        let (settings, options) = (self.prepare)(file.clone()).await?;
         let (clock, counts): (_, Arc<Counts>) = (Clock::start(), Arc::default());
         // Turns are counted over its restarts; all else is said of the present run.
         let turns = self.members.get(&gateway).map(|member| member.counts.turns.load(Ordering::Relaxed));
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod moments;
 pub mod plan;
 pub mod point;
+pub mod relays;
 pub mod report;
 pub mod script;
 pub mod sweep;
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::relays::{self, Fault};
+
 /// Bytes that all processes of a run may hold together.
 pub const MOST_BYTES: u64 = 12 << 30;
 /// Processes of a run, this one among them.
@@ -10,6 +12,8 @@
 pub const LINKS: u64 = 20_000;
 /// Gateways of one process at most: each has a thread that follows the changes.
 const A_WORKER: u64 = 450;
+/// Relays of a zone at most.
+pub const MOST_RELAYS: u32 = 16;
 /// Descriptors that a process has besides those that grow with the fleet.
 const OWN: u64 = 64;
 /// Of a gateway besides its links: listener, list, keeper, state folder's lock, what it reads from.
@@ -41,6 +45,11 @@
     pub restarts_per_hour: f64,
     pub seconds: f64,
     pub seed: u64,
+    /// Relays in each zone, between the folder of changes and the gateways; none: gateways read the folder.
+    #[serde(default)]
+    pub relays: u32,
+    #[serde(default)]
+    pub fault: Option<Fault>,
 }
 
 impl Plan {
@@ -105,6 +114,12 @@
 
 fn sane(plan: &Plan) -> Result<(), Refused> {
     let wrong = |what: String| Err(Refused::Wrong(what));
+    if plan.relays > MOST_RELAYS {
+        return wrong(format!("{} relays a zone, the limit is {MOST_RELAYS}", plan.relays));
+    }
+    if plan.fault.is_some() && plan.relays == 0 {
+        return wrong("a fault of relays, and no relays".into());
+    }
     if plan.gateways == 0 || plan.stores == 0 || plan.volumes == 0 {
         return wrong(format!(
             "{} gateways, {} stores, {} volumes: one of each is the least",
@@ -138,13 +153,16 @@
     let by_itself = (LINKS / gateways).max(1).min(stores) as u32;
     let answering = u64::from(plan.answering.unwrap_or(by_itself));
     let room = limits.descriptors.saturating_sub(OWN);
-    let a_gateway = answering + A_GATEWAY;
+    // At the worst moment a gateway is connected to every relay, and a relay to every gateway.
+    let relays = u64::from(relays::processes(plan.relays));
+    let a_gateway = answering + A_GATEWAY + relays;
     // Each store has its listener, a link from each gateway, and one from the keeper where it gives orders.
     let a_store = gateways + 2;
     let needs = [
         ("gateway", a_gateway),
         ("stand-in store", if answering > 0 { a_store } else { 0 }),
         ("list", gateways + 1),
+        ("relay", if relays > 0 { gateways + relays } else { 0 }),
     ];
     for (role, need) in needs {
         if need > room {
@@ -157,7 +175,7 @@
     let store_processes = answering.div_ceil(in_store_process);
     let links = answering * gateways;
     // Itself, the list and the keeper.
-    let processes = workers + store_processes + u64::from(plan.real) + 3;
+    let processes = workers + store_processes + relays + u64::from(plan.real) + 3;
     if processes > u64::from(limits.processes) {
         let need = u32::try_from(processes).unwrap_or(u32::MAX);
         return Err(Refused::Processes { need, limit: limits.processes, links });
--- a/crates/scale/src/point.rs
+++ b/crates/scale/src/point.rs
@@ -19,6 +19,7 @@
 use crate::fit::Quantiles;
 use crate::hollow::{self, Acted, Seen};
 use crate::plan::{Demand, Limits, Plan, demand};
+use crate::relays::{Fault, Relays};
 use crate::script::{self, Writer};
 use crate::worker::{Named, Order, Reply};
 
@@ -54,6 +55,8 @@
     /// A real one: `umbertray serve` in a process of its own.
     Gateway,
     Keeper,
+    /// All relays together.
+    Relay,
     List,
     /// All stand-in stores together.
     Store,
@@ -146,6 +149,7 @@
     /// Gateways of each worker.
     pub(crate) shares: Vec<Vec<u32>>,
     real: Vec<Process>,
+    relays: Option<Relays>,
     pub(crate) keeper: Process,
     pub(crate) kept_at: SocketAddr,
     pub(crate) folder: PathBuf,
@@ -165,6 +169,7 @@
     workers: Vec<Used>,
     real: Vec<Used>,
     keeper: Used,
+    relays: Vec<Used>,
     list: Used,
     stores: Vec<Used>,
     list_traffic: Crossed,
@@ -211,6 +216,10 @@
         let listed_at = start_list(&mut list, any_port(), &named).await?;
         let (keeper, kept_at) = start_keeper(setup, &folder, any_port(), listed_at).await?;
         let writer = Writer::begin(&folder.join("changes"), plan)?;
+        let relays = match plan.relays {
+            0 => None,
+            some => Some(Relays::start(setup, &folder, &folder.join("changes"), some).await?),
+        };
         let mut stage = Stage {
             plan: plan.clone(),
             demand,
@@ -222,6 +231,7 @@
             workers: Vec::new(),
             shares: Vec::new(),
             real: Vec::new(),
+            relays,
             keeper,
             writer,
             committed: BTreeMap::new(),
@@ -237,11 +247,12 @@
     }
 
     async fn start_gateways(&mut self, setup: &Setup, start: Start) -> Result<(), ScaleError> {
-        let changes = self.folder.join("changes");
+        let folder = format!("{:?}", self.folder.join("changes").display().to_string());
+        let changes = self.relays.as_ref().map_or(folder, |relays| relays.upstreams.clone());
         let own = |gateway: u32| {
             let state = self.folder.join(format!("state-{gateway}"));
             let seed = self.plan.seed << 16 ^ u64::from(gateway);
-            script::own(seed, self.listed_at, self.kept_at, &changes, &state)
+            script::own((gateway, seed), self.listed_at, self.kept_at, &changes, &state)
         };
         let mut scripts = Vec::new();
         for gateway in 0..self.plan.gateways {
@@ -339,6 +350,7 @@
             workers: of(&self.workers),
             real: self.real.iter().map(|process| used(process.id())).collect(),
             keeper: used(self.keeper.id()),
+            relays: self.relays.iter().flat_map(Relays::ids).map(used).collect(),
             list: used(self.list.id()),
             stores: of(&self.stores),
             list_traffic,
@@ -362,6 +374,17 @@
         self.workers[worker].ask(&Order::Restart { gateway }).await.map(drop)
     }
 
+    async fn fail(&mut self, fault: Option<Fault>) -> Result<(), ScaleError> {
+        match self.relays.as_mut().zip(fault) {
+            Some((relays, fault)) => relays.fail(fault).await,
+            None => Ok(()),
+        }
+    }
+
+    fn heal(&mut self, fault: Option<Fault>) -> Result<(), ScaleError> {
+        self.relays.as_mut().zip(fault).map_or(Ok(()), |(relays, fault)| relays.heal(fault))
+    }
+
     /// Lets the plan's time pass, with its changes and restarts.
     async fn pass(&mut self) -> Result<(), ScaleError> {
         let began = Instant::now();
@@ -373,14 +396,25 @@
         let (change, restart) =
             (every(self.plan.changes_per_second), every(self.plan.restarts_per_hour / 3600.0));
         let (mut changing, mut restarting, mut looking) = (change / 2, restart / 2, LOOK);
+        let fault = self.plan.fault;
+        let (mut failing, mut healing) = match fault {
+            Some(_) => (end / 3, end / 3 * 2),
+            None => (Duration::MAX, Duration::MAX),
+        };
         loop {
-            let next = changing.min(restarting).min(looking).min(end);
+            let next = changing.min(restarting).min(looking).min(failing).min(healing).min(end);
             tokio::time::sleep(next.saturating_sub(began.elapsed())).await;
             if next == end {
                 return Ok(());
             } else if next == changing {
                 changing = changing.saturating_add(change);
                 self.change()?;
+            } else if next == failing {
+                failing = Duration::MAX;
+                self.fail(fault).await?;
+            } else if next == healing {
+                healing = Duration::MAX;
+                self.heal(fault)?;
             } else if next == restarting {
                 restarting = restarting.saturating_add(restart);
                 self.restart().await?;
@@ -523,6 +557,13 @@
         let (cpu, rss) = sums(&before.stores, &after.stores);
         let mut stores = line(Some(Role::Store), self.stores.len(), 1.0, cpu, rss, 1.0);
         (stores.control_bytes_per_second, stores.list_bytes_per_second) = (links, 0.0);
+        if self.relays.is_some() {
+            let (cpu, rss) = sums(&before.relays, &after.relays);
+            let mut relays = line(Some(Role::Relay), after.relays.len(), 1.0, cpu, rss, 1.0);
+            (relays.control_bytes_per_second, relays.list_bytes_per_second) = (0.0, 0.0);
+            relays.link_bytes_per_second = 0.0;
+            lines.push(relays);
+        }
         lines.extend([keeper, listed, stores]);
         lines
     }
--- /dev/null
+++ b/crates/scale/src/relays.rs
@@ -0,0 +1,130 @@
+//! The relays of a run: some that read the writer's folder, and in each zone some that follow those.
+
+use std::path::Path;
+use std::str::FromStr;
+
+use nix::sys::signal::Signal;
+use serde::{Deserialize, Serialize};
+use umbertray_rehearsal::run::Process;
+
+use crate::ScaleError;
+use crate::point::{Setup, ZONES};
+use crate::script;
+
+/// Relays that read the folder: one more than may lie, and one that may be gone.
+pub const TOPS: u32 = 3;
+
+/// What becomes of the first relay of each zone a third into the time that is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// It is killed, and stays away.
+    Killed,
+    /// It stands still for the second third.
+    Stopped,
+}
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Fault, String> {
+        match text {
+            "killed" => Ok(Fault::Killed),
+            "stopped" => Ok(Fault::Stopped),
+            other => Err(format!("{other:?} is neither killed nor stopped")),
+        }
+    }
+}
+
+/// How many processes so many relays a zone come to.
+pub fn processes(a_zone: u32) -> u32 {
+    if a_zone == 0 { 0 } else { TOPS + a_zone * ZONES }
+}
+
+/// The relays at work; they end with it.
+pub struct Relays {
+    processes: Vec<Process>,
+    /// The first relay of each zone, by its place among the processes.
+    first: Vec<usize>,
+    /// What a gateway's script names as its changes.
+    pub upstreams: String,
+}
+
+async fn start(
+    setup: &Setup,
+    folder: &Path,
+    name: &str,
+    script: &str,
+) -> Result<(Process, String), ScaleError> {
+    let started = Process::start(&setup.program, folder, ("relay", name), script, &[]).await;
+    let (process, said) = started.map_err(ScaleError::io(name))?;
+    let address = said["relay"].as_str().map(str::to_string);
+    let address = address.ok_or_else(|| std::io::Error::other("it did not say where it listens"));
+    Ok((process, address.map_err(ScaleError::io(name))?))
+}
+
+/// A list of strings as a script writes it.
+fn listed(texts: &[String]) -> String {
+    format!("{texts:?}")
+}
+
+impl Relays {
+    pub async fn start(
+        setup: &Setup,
+        folder: &Path,
+        changes: &Path,
+        a_zone: u32,
+    ) -> Result<Relays, ScaleError> {
+        let (mut processes, mut first) = (Vec::new(), Vec::new());
+        let (mut tops, mut upstreams) = (Vec::new(), Vec::new());
+        let from_folder = format!("{:?}", changes.display().to_string());
+        for top in 0..TOPS {
+            let (zone, name) = (top * ZONES / TOPS, format!("top-{top}"));
+            let script = script::relay(&name, zone, &from_folder, &folder.join(&name));
+            let (process, address) = start(setup, folder, &name, &script).await?;
+            processes.push(process);
+            tops.push(format!("{zone}/{name}={address}"));
+        }
+        for (zone, number) in (0..ZONES).flat_map(|zone| (0..a_zone).map(move |number| (zone, number))) {
+            let name = format!("relay-{zone}-{number}");
+            let script = script::relay(&name, zone, &listed(&tops), &folder.join(&name));
+            let (process, address) = start(setup, folder, &name, &script).await?;
+            if number == 0 {
+                first.push(processes.len());
+            }
+            processes.push(process);
+            upstreams.push(format!("{zone}/{name}={address}"));
+        }
+        Ok(Relays { processes, first, upstreams: listed(&upstreams) })
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = Option<u32>> {
+        self.processes.iter().map(Process::id)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), ScaleError> {
+        self.first.iter().try_for_each(|place| {
+            self.processes[*place].signal(signal).map_err(ScaleError::io("a relay cannot be signalled"))
+        })
+    }
+
+    pub async fn fail(&mut self, fault: Fault) -> Result<(), ScaleError> {
+        match fault {
+            Fault::Stopped => self.signal(Signal::SIGSTOP),
+            Fault::Killed => {
+                for place in &self.first {
+                    let killed = self.processes[*place].kill().await;
+                    killed.map_err(ScaleError::io("a relay cannot be killed"))?;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    pub fn heal(&mut self, fault: Fault) -> Result<(), ScaleError> {
+        match fault {
+            Fault::Stopped => self.signal(Signal::SIGCONT),
+            Fault::Killed => Ok(()),
+        }
+    }
+}
--- a/crates/scale/src/script.rs
+++ b/crates/scale/src/script.rs
@@ -12,6 +12,7 @@
 
 use crate::ScaleError;
 use crate::plan::Plan;
+use crate::point::ZONES;
 
 /// The plan whose rate tells a version from the others: settings do not say their number.
 const MARK: &str = "mark";
@@ -42,18 +43,32 @@
     format!("gateway(listen = [{listen:?}], extent = 256 * KiB, unit = 16 * KiB, most_units = 8, {rest})\n")
 }
 
-/// A gateway's own script; all else it has from the log of changes.
-pub fn own(seed: u64, list: SocketAddr, keeper: SocketAddr, changes: &Path, state: &Path) -> String {
+/// A gateway's own script; all else it has from the log of changes, which is named as a script writes it.
+pub fn own(
+    (number, seed): (u32, u64),
+    list: SocketAddr,
+    keeper: SocketAddr,
+    changes: &str,
+    state: &Path,
+) -> String {
     let rest = format!(
-        "list = {:?}, keeper = {:?}, seed = {seed}, changes = {:?}, state = {:?}",
+        "name = \"gateway-{number}\", zone = \"{}\", list = {:?}, keeper = {:?}, seed = {seed}, changes = {changes}, state = {:?}",
+        number % ZONES,
         list.to_string(),
         keeper.to_string(),
-        changes.display().to_string(),
         state.display().to_string()
     );
     gateway("127.0.0.1:0", &rest) + OWN
 }
 
+/// A relay's script; `changes` is as the script writes it.
+pub fn relay(name: &str, zone: u32, changes: &str, folder: &Path) -> String {
+    let folder = folder.display().to_string();
+    format!(
+        "relay(listen = \"127.0.0.1:0\", name = {name:?}, zone = \"{zone}\", changes = {changes}, folder = {folder:?})\n"
+    )
+}
+
 pub fn keeper(listen: SocketAddr, list: SocketAddr, folder: &Path) -> String {
     let (listen, list, folder) = (listen.to_string(), list.to_string(), folder.display().to_string());
     format!("keeper(listen = {listen:?}, list = {list:?}, folder = {folder:?})\n")
--- a/crates/scale/tests/plans.rs
+++ b/crates/scale/tests/plans.rs
@@ -15,6 +15,8 @@
         restarts_per_hour: 0.0,
         seconds: 1.0,
         seed: 1,
+        relays: 0,
+        fault: None,
     }
 }
 
