--- a/crates/cli/tests/sockets/scale.rs
+++ b/crates/cli/tests/sockets/scale.rs
@@ -220,3 +220,21 @@
     assert!(machine["cores"].as_u64() > Some(0) && machine["memory_mb"].as_u64() > Some(0));
     std::fs::remove_dir_all(folder).expect("it can be removed");
 }
+
+#[test]
+fn a_budget_that_is_not_kept_to_is_named_and_the_status_is_1() {
+    let said = Command::new(PROGRAM)
+        .args(["--log", "json", "scale", "--gateways", "1", "--real", "0", "--stores", "2", "--volumes", "1"])
+        .args(["--seconds", "0.3", "--most-core", "0", "--most-in-force", "0"])
+        .output()
+        .expect("it runs");
+    assert_eq!(said.status.code(), Some(1), "{said:?}");
+    let text = String::from_utf8(said.stderr).expect("text");
+    assert!(text.contains("of a core, 0 is allowed") && text.contains("in force after"), "{text}");
+    assert_eq!(String::from_utf8(said.stdout).expect("text").lines().count(), 4, "lines come all the same");
+    // Where something did not hold, logs are kept, and it is said where.
+    let logged = text.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let folder = logged.filter_map(|line| Some(line["fields"]["folder"].as_str()?.to_string())).next();
+    let folder = folder.expect("it says where logs are");
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
