--- a/crates/versions/tests/log.rs
+++ b/crates/versions/tests/log.rs
@@ -494,6 +494,32 @@
     assert!(Follower::open(&disk, acted).is_ok());
 }
 
+/// Changes that were read before the trouble are told; the trouble is told at the next look, and at each after.
+#[test]
+fn trouble_further_on_takes_nothing_from_what_was_read_before_it() {
+    let disk = SimDisk::default();
+    let mut log = Log::open(Box::new(disk.clone()), 700).expect("a folder");
+    import(&mut log);
+    let first = disk.read(&segment::name(0), 1 << 20).expect("there");
+    let mut follower = Follower::open(&with(&first), None).expect("version 1");
+    for n in 1..=30u32 {
+        let edit = set(Kind::Plan, "p1", "limit", json!(50.0 + f64::from(n)));
+        log.commit(change(&format!("c{n}"), u64::from(n), vec![edit])).expect("right");
+    }
+    let segments = log::segments(&disk).expect("there");
+    let (last, broken) = (*segments.last().expect("some"), segments[segments.len() - 2]);
+    assert!(broken > 1 && last > broken, "{segments:?}");
+    let mut damaged = disk.clone();
+    damaged.write(&segment::name(broken), b"no log").expect("room");
+    let taken = follower.poll(&damaged).expect("what was read before");
+    let numbers: Vec<u64> = taken.iter().map(|(version, _)| version.number).collect();
+    assert_eq!(numbers, (2..=broken).collect::<Vec<_>>());
+    assert_eq!(follower.at.version.number, broken);
+    for _ in 0..2 {
+        assert!(matches!(follower.poll(&damaged), Err(NotFollowed::Log(LogError::Broken { .. }))));
+    }
+}
+
 #[test]
 fn a_clock_that_runs_backwards_changes_no_order() {
     let disk = SimDisk::default();
