Merge relays of the log of changes, and the scale runs over them

`umbertray relay` carries the log from its folder to gateways and other relays; what is new is acted on only where two of three upstreams (`vouch` and one more) tell the same hash, since the chain alone keeps no liar out. Read: the frames, the node's interface and its upstreams, the shells, and all tests, of which none was eased: the bound on a frame's length is asked for with its figure, and a follower's version by another path.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod days;
 mod hard_cases;
 mod moves;
+mod relays;
 mod restarts;
 mod scale;
 mod sessions;
--- a/crates/store-wire/src/lib.rs
+++ b/crates/store-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! A frame is a length (u32, of what follows), a kind (u8) and the kind's fields; numbers are big-endian. Nothing
 //! here opens a socket: [`next_frame`] takes frames off a buffer, [`Message::put`] writes them.
 
+pub mod changes;
 mod fields;
 pub mod list;
 pub mod orders;
@@ -23,8 +24,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Malformed {
-    #[error("a frame of {0} bytes, over the bound of {MAX_FRAME}")]
-    Long(u32),
+    #[error("a frame of {length} bytes, over the bound of {most}")]
+    Long { length: u32, most: u32 },
     #[error("an empty frame")]
     Empty,
     #[error("unknown kind {0} of frame")]
@@ -41,6 +42,9 @@
 
 /// A message of one direction of a connection.
 pub trait Message: Sized {
+    /// No frame of this direction is longer, bytes.
+    const MOST: u32 = MAX_FRAME;
+
     fn kind(&self) -> u8;
     fn put_fields(&self, out: &mut BytesMut);
     fn read(kind: u8, fields: &mut Reader) -> Result<Self, Malformed>;
@@ -77,8 +81,8 @@
     let length = head.get_u32();
     match length {
         0 => return Err(Malformed::Empty),
-        1..=MAX_FRAME => {}
-        _ => return Err(Malformed::Long(length)),
+        _ if length <= M::MOST => {}
+        _ => return Err(Malformed::Long { length, most: M::MOST }),
     }
     if input.len() < 4 + length as usize {
         return Ok(None);
--- a/crates/versions/src/chain.rs
+++ b/crates/versions/src/chain.rs
@@ -9,14 +9,12 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 use umbertray_state::Layer;
 use umbertray_state::format::{MOST_FILE, next, record};
+pub use umbertray_store_wire::changes::{Hash, chained};
 
 pub const VERSION: u16 = 1;
 
-pub type Hash = [u8; 32];
-
 /// A change's id, its version, and what tells it from another of that id.
 pub type Done = (String, u64, u64);
 
@@ -114,10 +112,6 @@
     Disk(#[from] io::Error),
 }
 
-pub fn chained(before: &Hash, body: &[u8]) -> Hash {
-    Sha256::new().chain_update(before).chain_update(body).finalize().into()
-}
-
 /// Reads a segment as its bytes come; it stops where a record is not whole.
 #[derive(Clone, Debug)]
 pub struct Reader {
@@ -334,6 +328,22 @@
         Ok(())
     }
 
+    /// Begins a new segment with a state further on, of a log that this one is a copy of.
+    pub fn adopt(&mut self, head: Head) -> io::Result<()> {
+        self.ready()?;
+        self.end = End::Doubtful;
+        let (version, hash) = (head.version, head.hash);
+        self.begin(head)?;
+        (self.version, self.hash, self.end) = (version, hash, End::Sound);
+        Ok(())
+    }
+
+    /// Removes all segments but the newest: a copy has what was before elsewhere.
+    pub fn forget_earlier(&mut self) -> io::Result<()> {
+        let earlier = segments(&*self.layer, self.kind)?.into_iter().filter(|first| *first < self.since);
+        earlier.into_iter().try_for_each(|first| self.layer.remove(&self.kind.name(first)))
+    }
+
     fn write(&mut self, body: Vec<u8>) -> io::Result<Hash> {
         let hash = chained(&self.hash, &body);
         let bytes = record(&Item::Change { body, hash }).ok_or(io::ErrorKind::FileTooLarge)?;
