Say what a process of hollow gateways has a thread for

The change is followed without a thread a gateway since relays came; the thread that is left keeps its state. A comment of the relay's folder is folded to the others' width. Comments only: formatting and clippy of both packages pass.

--- a/crates/relay/src/folder.rs
+++ b/crates/relay/src/folder.rs
@@ -36,8 +36,8 @@
     }
 }
 
-/// Tells the hub of all that is safely committed there, written down as carried before, until the hub ends. A folder that hangs holds a thread of those for
-/// blocking work, and none of the runtime's own.
+/// Tells the hub of all that is safely committed there, written down as carried before, until the hub ends. A folder that
+/// hangs holds a thread of those for blocking work, and none of the runtime's own.
 pub async fn follow(folder: PathBuf, carried: Carried, to_hub: mpsc::Sender<ToHub>) {
     let mut look = Look { disk: Disk::look(&folder), tail: None };
     let mut said: Option<Instant> = None;
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -10,7 +10,7 @@
 pub const MOST_PROCESSES: u32 = 300;
 /// Links of gateways to stores that a run opens by itself; more are made where `--answering` asks for them.
 pub const LINKS: u64 = 20_000;
-/// Gateways of one process at most: each has a thread that follows the changes.
+/// Gateways of one process at most: each has a thread that keeps its state.
 const A_WORKER: u64 = 450;
 /// Relays of a zone at most.
 pub const MOST_RELAYS: u32 = 16;
