--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,9 +5,9 @@
 
 pub mod body;
 pub mod client;
+pub mod connection;
 mod head;
 pub mod server;
-pub mod serving;
 
 pub use head::Headers;
 
--- a/crates/http/tests/serving.rs
+++ b/crates/http/tests/connection.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{HashSet, VecDeque};
 
-use umbertray_http::serving::{Answer, Event, Owed, Serving, State, Todo, Wanted};
+use umbertray_http::connection::{
+    CloseDemand, ConnectionState, Event, NextStep, Obligation, Response, State,
+};
 
 /// Bugs of the test's own making, each of which the search has to find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -56,7 +58,7 @@
     Reset,
     /// The client reads what was written.
     Taken,
-    Phase(Wanted),
+    Phase(CloseDemand),
     RoomWanted,
     /// The gateway reads what is first.
     Read,
@@ -73,8 +75,8 @@
     /// The client's requests persist, and are ops.
     persists: bool,
     op: bool,
-    serving: Serving,
-    todo: Todo,
+    serving: ConnectionState,
+    todo: NextStep,
     requests: u8,
     half_out: bool,
     /// Sent, and not read by the gateway.
@@ -87,7 +89,7 @@
     /// Of the half that was read, an error or a word that the connection ends was written.
     told: bool,
     /// Whole requests read before the shutdown and not answered.
-    owed: u8,
+    obligation: u8,
     handed_on: bool,
     op_open: bool,
     /// An answer was written that the client has not read.
@@ -98,7 +100,7 @@
     had_time: bool,
     shut: bool,
     closed: bool,
-    phase: Wanted,
+    phase: CloseDemand,
     room: bool,
     /// Since the last request.
     room_asked: bool,
@@ -107,13 +109,13 @@
 type Kept = Result<(), Property>;
 
 impl World {
-    fn new(plant: Plant, turned_away: bool, persists: bool, op: bool) -> World {
+    fn new(plant: Plant, rejecting: bool, persists: bool, op: bool) -> World {
         World {
             plant,
             persists,
             op,
-            serving: Serving::new(turned_away),
-            todo: Todo::Read,
+            serving: ConnectionState::new(rejecting),
+            todo: NextStep::Read,
             requests: 2,
             half_out: false,
             unread: VecDeque::new(),
@@ -122,7 +124,7 @@
             ahead: 0,
             half: false,
             told: false,
-            owed: 0,
+            obligation: 0,
             handed_on: false,
             op_open: false,
             untaken: false,
@@ -130,14 +132,14 @@
             had_time: false,
             shut: false,
             closed: false,
-            phase: Wanted::Nothing,
+            phase: CloseDemand::None,
             room: false,
             room_asked: false,
         }
     }
 
-    fn wanted(&self) -> Wanted {
-        if self.room { Wanted::Room } else { self.phase }
+    fn demand(&self) -> CloseDemand {
+        if self.room { CloseDemand::ForCapacity } else { self.phase }
     }
 
     fn steps(&self) -> Vec<Step> {
@@ -146,18 +148,18 @@
             return steps;
         }
         self.client_steps(&mut steps);
-        if !self.room && self.serving.owed() != Owed::Answer {
+        if !self.room && self.serving.obligation() != Obligation::Response {
             steps.push(Step::RoomWanted);
         }
         steps.extend(match self.phase {
-            Wanted::Nothing => Some(Step::Phase(Wanted::Rest)),
-            Wanted::Rest => Some(Step::Phase(Wanted::End)),
+            CloseDemand::None => Some(Step::Phase(CloseDemand::Graceful)),
+            CloseDemand::Graceful => Some(Step::Phase(CloseDemand::Immediate)),
             _ => None,
         });
         // The process waits for connections to end; planted, only for answers.
         if self.plant == Plant::EndedOverParting
-            && self.phase == Wanted::End
-            && self.serving.owed() == Owed::Parting
+            && self.phase == CloseDemand::Immediate
+            && self.serving.obligation() == Obligation::LingeringClose
         {
             steps.push(Step::ProcessEnds);
         }
@@ -183,44 +185,48 @@
     }
 
     fn gateway_steps(&self, steps: &mut Vec<Step>) {
-        let told = (self.wanted() > self.serving.wanted()).then_some(Step::Tell(Event::Told));
+        let told = (self.demand() > self.serving.demand()).then_some(Step::Tell(Event::DemandChanged));
         let found = match (self.ahead, self.half, self.serving.state()) {
-            (1.., _, _) => Some(Event::Whole { op: self.op, persists: self.persists }),
-            (0, true, State::Unheard | State::Idle) => Some(Event::Half),
+            (1.., _, _) => Some(Event::RequestRead { op: self.op, persists: self.persists }),
+            (0, true, State::AwaitingFirstRequest | State::Idle) => Some(Event::PartialRead),
             _ => None,
         };
         match self.todo {
             // What was read ahead is looked at first.
-            Todo::Read if found.is_some() => steps.extend(found.map(Step::Tell)),
-            Todo::Read if self.can_read() => {
+            NextStep::Read if found.is_some() => steps.extend(found.map(Step::Tell)),
+            NextStep::Read if self.can_read() => {
                 steps.push(Step::Read);
                 steps.extend(told);
             }
-            Todo::Read => {
-                steps.push(Step::Tell(Event::TimeUp));
+            NextStep::Read => {
+                steps.push(Step::Tell(Event::TimedOut));
                 steps.extend(told);
             }
-            Todo::Look if self.can_read() => steps.push(Step::Read),
-            Todo::Look => steps.push(Step::Tell(Event::Nothing)),
-            Todo::Take => {
+            NextStep::ReadAvailable if self.can_read() => steps.push(Step::Read),
+            NextStep::ReadAvailable => steps.push(Step::Tell(Event::NothingRead)),
+            NextStep::AwaitResponse => {
                 let more = self.ahead > 0;
-                steps.extend([Event::Answered { more }, Event::Refused].map(Step::Tell));
+                steps.extend([Event::ResponseReady { more }, Event::RequestRefused].map(Step::Tell));
                 steps.extend(self.can_read().then_some(Step::Read));
                 if self.plant == Plant::ClosedWhileBusy {
                     steps.extend(told);
                 }
             }
-            Todo::Write { .. } => {
+            NextStep::Write { .. } => {
                 steps.extend((!self.reset).then_some(Step::Tell(Event::Written)));
-                steps.push(Step::Tell(Event::Unwritten));
+                steps.push(Step::Tell(Event::WriteFailed));
             }
-            Todo::Part if self.can_read() => steps.extend([Step::Read, Step::Tell(Event::TimeUp)]),
-            Todo::Part => {
-                steps.push(Step::Tell(Event::TimeUp));
-                steps.extend((self.wanted() == Wanted::Room).then_some(Step::Tell(Event::Told)));
+            NextStep::LingeringClose if self.can_read() => {
+                steps.extend([Step::Read, Step::Tell(Event::TimedOut)])
+            }
+            NextStep::LingeringClose => {
+                steps.push(Step::Tell(Event::TimedOut));
+                steps.extend(
+                    (self.demand() == CloseDemand::ForCapacity).then_some(Step::Tell(Event::DemandChanged)),
+                );
                 steps.extend(told);
             }
-            Todo::Leave | Todo::Close => steps.push(Step::Close),
+            NextStep::CancelRequest | NextStep::Close => steps.push(Step::Close),
         }
     }
 
@@ -243,7 +249,7 @@
             Step::Tell(event) => return self.tell(event),
             Step::Close => return self.close(),
             Step::ProcessEnds => {
-                let owes = !self.gone && (self.untaken || self.owed > 0);
+                let owes = !self.gone && (self.untaken || self.obligation > 0);
                 self.closed = true;
                 return if owes { Err(Property::EndsOwingNothing) } else { Ok(()) };
             }
@@ -255,24 +261,24 @@
         let sent = if self.reset { Sent::Fin } else { self.unread.pop_front().expect("it can read") };
         if self.shut && sent != Sent::Fin {
             if self.plant == Plant::HandedOnAfterTheShutdown && sent != Sent::Half {
-                self.todo = Todo::Take;
+                self.todo = NextStep::AwaitResponse;
                 return self.hand_on();
             }
             return Ok(());
         }
         match sent {
-            Sent::Fin => return self.tell(Event::Gone),
+            Sent::Fin => return self.tell(Event::PeerClosed),
             Sent::Half => (self.half, self.told) = (true, false),
             Sent::Whole | Sent::Rest => {
                 self.half &= sent != Sent::Rest;
                 self.ahead += 1;
-                self.owed += 1;
+                self.obligation += 1;
             }
         }
         match (self.todo, self.ahead) {
-            (Todo::Take, _) => Ok(()),
-            (_, 0) => self.tell(Event::Half),
-            _ => self.tell(Event::Whole { op: self.op, persists: self.persists }),
+            (NextStep::AwaitResponse, _) => Ok(()),
+            (_, 0) => self.tell(Event::PartialRead),
+            _ => self.tell(Event::RequestRead { op: self.op, persists: self.persists }),
         }
     }
 
@@ -286,66 +292,68 @@
 
     fn tell(&mut self, event: Event) -> Kept {
         let (was, state) = (self.todo, self.serving.state());
-        self.serving.want(self.wanted());
-        if matches!(event, Event::Whole { .. }) {
+        self.serving.raise_demand(self.demand());
+        if matches!(event, Event::RequestRead { .. }) {
             self.ahead -= 1;
         }
-        if let (Todo::Write { answer, last }, Event::Written) = (was, event) {
-            self.written(answer, last);
+        if let (NextStep::Write { response, last }, Event::Written) = (was, event) {
+            self.written(response, last);
         }
-        self.takes_nothing |= event == Event::Unwritten;
-        self.had_time |= state == State::Parting && (event == Event::TimeUp || self.room_asked);
-        if matches!(event, Event::Answered { .. } | Event::Refused) {
+        self.takes_nothing |= event == Event::WriteFailed;
+        self.had_time |= state == State::LingeringClose && (event == Event::TimedOut || self.room_asked);
+        if matches!(event, Event::ResponseReady { .. } | Event::RequestRefused) {
             self.op_open = false;
         }
-        self.room_asked &= !matches!(event, Event::Whole { .. });
+        self.room_asked &= !matches!(event, Event::RequestRead { .. });
         let was_open = self.op_open;
         self.todo = self.planted(state, event);
-        self.room = self.serving.wanted() == Wanted::Room;
-        if event == Event::Gone && was_open && self.todo != Todo::Leave {
+        self.room = self.serving.demand() == CloseDemand::ForCapacity;
+        if event == Event::PeerClosed && was_open && self.todo != NextStep::CancelRequest {
             return Err(Property::LeftIsTold);
         }
         match self.todo {
-            Todo::Part => self.shut = true,
-            Todo::Take if was != Todo::Take => return self.hand_on(),
+            NextStep::LingeringClose => self.shut = true,
+            NextStep::AwaitResponse if was != NextStep::AwaitResponse => return self.hand_on(),
             _ => {}
         }
         Ok(())
     }
 
-    fn written(&mut self, answer: Answer, last: bool) {
+    fn written(&mut self, response: Response, last: bool) {
         self.untaken = !self.gone;
         self.told |= last;
-        match answer {
-            Answer::TooSlow => {}
-            _ => self.owed = self.owed.saturating_sub(1),
+        match response {
+            Response::RequestTimeout => {}
+            _ => self.obligation = self.obligation.saturating_sub(1),
         }
-        if last && (!self.persists || answer != Answer::Own) {
+        if last && (!self.persists || response != Response::Own) {
             // The client has said that it sends no more, or what is behind an error is no request.
-            self.owed = 0;
+            self.obligation = 0;
         }
     }
 
-    fn planted(&mut self, state: State, event: Event) -> Todo {
+    fn planted(&mut self, state: State, event: Event) -> NextStep {
         let before = self.serving.clone();
         let todo = self.serving.on(event);
         match (self.plant, state, todo) {
-            (Plant::ClosedWhileBusy, State::Busy { .. }, _) if event == Event::Told => Todo::Close,
-            (Plant::LeftNotTold, _, Todo::Leave) => Todo::Close,
-            (Plant::ClosedWithoutParting, _, Todo::Part) => Todo::Close,
+            (Plant::ClosedWhileBusy, State::AwaitingResponse { .. }, _) if event == Event::DemandChanged => {
+                NextStep::Close
+            }
+            (Plant::LeftNotTold, _, NextStep::CancelRequest) => NextStep::Close,
+            (Plant::ClosedWithoutParting, _, NextStep::LingeringClose) => NextStep::Close,
             (
                 Plant::HalfClosedWithoutAWord,
-                State::Part { .. },
-                Todo::Write { answer: Answer::TurnAway, .. },
-            ) => Todo::Close,
-            (Plant::ReadAheadForgotten, State::Busy { .. }, _)
-                if event == (Event::Answered { more: true }) =>
+                State::ReadingRequest { .. },
+                NextStep::Write { response: Response::Rejection, .. },
+            ) => NextStep::Close,
+            (Plant::ReadAheadForgotten, State::AwaitingResponse { .. }, _)
+                if event == (Event::ResponseReady { more: true }) =>
             {
                 self.serving = before;
-                self.serving.on(Event::Answered { more: false })
+                self.serving.on(Event::ResponseReady { more: false })
             }
-            (Plant::RoomKeptThoughAsked, _, _) if before.wanted() == Wanted::Room => {
-                self.serving.want(Wanted::Room);
+            (Plant::RoomKeptThoughAsked, _, _) if before.demand() == CloseDemand::ForCapacity => {
+                self.serving.raise_demand(CloseDemand::ForCapacity);
                 todo
             }
             _ => todo,
@@ -354,7 +362,7 @@
 
     fn close(&mut self) -> Kept {
         self.closed = true;
-        if self.todo == Todo::Leave {
+        if self.todo == NextStep::CancelRequest {
             let told = std::mem::take(&mut self.op_open);
             return if told || !self.op || !self.handed_on { Ok(()) } else { Err(Property::LeftIsTold) };
         }
@@ -364,7 +372,7 @@
         if self.gone || self.takes_nothing {
             return Ok(());
         }
-        if self.owed > 0 {
+        if self.obligation > 0 {
             return Err(Property::NoneLost);
         }
         if self.untaken && !self.had_time {
@@ -376,7 +384,7 @@
     /// The process ends, the client is silent: all that is left is the gateway's own.
     fn comes_to_an_end(&self) -> Kept {
         let mut world = self.clone();
-        (world.phase, world.plant) = (Wanted::End, Plant::None);
+        (world.phase, world.plant) = (CloseDemand::Immediate, Plant::None);
         for _ in 0..40 {
             if world.closed {
                 return Ok(());
@@ -418,11 +426,11 @@
 #[test]
 fn every_order_of_events_around_an_end_owes_nothing() {
     let mut states = 0;
-    for turned_away in [false, true] {
+    for rejecting in [false, true] {
         for persists in [true, false] {
             for op in [true, false] {
-                let found = explore(World::new(Plant::None, turned_away, persists, op));
-                assert_eq!(found.broken, None, "turned away: {turned_away}, persists: {persists}, op: {op}");
+                let found = explore(World::new(Plant::None, rejecting, persists, op));
+                assert_eq!(found.broken, None, "turned away: {rejecting}, persists: {persists}, op: {op}");
                 states += found.states;
             }
         }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -17,7 +17,7 @@
 use umbertray_platform::{Ask, Call, ClientId, Core, Deed, Input, Refused, Reply, Returned};
 
 use crate::bounds::Bounds;
-use crate::client::Guests;
+use crate::client_connections::ClientConnections;
 use crate::store::{self, Pools};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,7 +46,7 @@
     pub clock: Clock,
     pub bounds: Bounds,
     pub pools: Pools,
-    pub guests: Guests,
+    pub clients: ClientConnections,
     /// Bytes that large answers hold.
     pub held: Arc<AtomicUsize>,
     /// The module asks to be told of changes, or for the whole list.
@@ -67,7 +67,7 @@
             clock,
             bounds,
             pools: Pools::new(bounds),
-            guests: Guests::default(),
+            clients: ClientConnections::default(),
             held: Arc::default(),
             subscribe: Notify::new(),
             fetch: Notify::new(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,8 +6,11 @@
 
 mod bounds;
 mod client;
+mod client_connections;
 mod hub;
+mod listener;
 mod patience;
+mod response;
 mod store;
 mod watch;
 
@@ -70,7 +73,7 @@
     let followed = watch::follow(dial, hub.clone(), discovery, config.known.version, config.seed, asked);
     tokio::task::spawn_local(followed);
     tokio::task::spawn_local(store::tidy(hub.clone()));
-    tokio::task::spawn_local(client::accept(hub.clone(), listener));
+    tokio::task::spawn_local(listener::accept(hub.clone(), listener));
     tracing::info!(name = config.name, listen = %address, discovery = %config.discovery, "serving");
     listening(address);
     let mut settings = config.settings;
@@ -104,23 +107,25 @@
 /// is answered.
 async fn stop(hub: &Hub, told: &Notify) {
     told.notified().await;
-    let Bounds { taking, trying, leaving, speak, parting, .. } = hub.bounds;
+    let Bounds {
+        accept_until, retry_until, drain_deadline, request_read_timeout, drain_close_timeout, ..
+    } = hub.bounds;
     let at = |span| hub.clock.instant(hub.clock.now() + span).into();
-    let (closing, end): (Instant, Instant) = (at(taking), at(leaving));
-    tracing::info!(open = hub.open(), clients = hub.guests.len(), "stopping");
-    hub.post(Input::Ends(hub.clock.now() + trying));
+    let (closing, end): (Instant, Instant) = (at(accept_until), at(drain_deadline));
+    tracing::info!(open = hub.open(), clients = hub.clients.len(), "stopping");
+    hub.post(Input::Ends(hub.clock.now() + retry_until));
     hub.enter(Phase::Leaving);
     sleep_until(closing).await;
     hub.enter(Phase::Closing);
-    if timeout_at(end, hub.guests.empty()).await.is_ok() {
+    if timeout_at(end, hub.clients.empty()).await.is_ok() {
         return;
     }
     // Danger: what was taken is lost without its whole answer, and this process may have come to it late. Who has sent
     // no whole request by now is turned away.
-    let answered = timeout(speak, hub.guests.answered()).await.is_ok();
+    let answered = timeout(request_read_timeout, hub.clients.all_answered()).await.is_ok();
     // Danger: bytes that lie unread when the process ends reset their connections, and answers go with them.
-    let parted = timeout(parting, hub.guests.empty()).await.is_ok();
-    let clients = hub.guests.len();
+    let parted = timeout(drain_close_timeout, hub.clients.empty()).await.is_ok();
+    let clients = hub.clients.len();
     match answered {
         true => tracing::info!(clients, parted, "stopped with open connections"),
         false => tracing::warn!(open = hub.open(), clients, "stopped with requests unanswered"),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -85,8 +85,11 @@
     fn idle(&self, address: SocketAddr) -> Option<Link<'_>> {
         let mut spoilt = 0;
         let stream = loop {
-            let rested =
-                self.pools.borrow_mut().get_mut(&address).and_then(|pool| pool.rested(self.bounds.rest));
+            let rested = self
+                .pools
+                .borrow_mut()
+                .get_mut(&address)
+                .and_then(|pool| pool.rested(self.bounds.reuse_delay));
             let Some((stream, since)) = rested else { break None };
             if silent(&stream) && since.elapsed() < self.bounds.store_idle {
                 break Some(stream);
@@ -102,7 +105,7 @@
     async fn rest(&self, address: SocketAddr) {
         let oldest = self.pools.borrow().get(&address).and_then(|pool| Some(pool.idle.first()?.1));
         match oldest {
-            Some(since) => sleep_until((since + self.bounds.rest).into()).await,
+            Some(since) => sleep_until((since + self.bounds.reuse_delay).into()).await,
             None => pending().await,
         }
     }
