Log and count why the front closes, refuses, repeats and denies, by typed reasons

Nothing of it is on a wire.

Whether an attempt may begin is decided in lifecycle::attempt now, with a reason instead of a bare nothing. Tests of Core::begin compare the reason: one of them meant the grace of a draining store and met the deadline, so the store is looked at first. No decision changes.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -4,6 +4,8 @@
 //! A connection has one way to its end: its sending is shut, what still comes is passed over for a bounded time, then it
 //! is closed. Danger: a close over unread bytes resets the connection and can take an answer with it.
 
+use umbertray_lifecycle::reason::CloseReason;
+
 /// Who demands that a connection closes; a greater demand holds over a smaller one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CloseDemand {
@@ -117,6 +119,37 @@
 }
 
 impl ConnectionState {
+    /// Why a connection comes to its end by a step that was taken from the state before on this event. Nothing where it
+    /// does not, and for the steps that follow the first one towards the end.
+    pub fn close_reason(&self, before: State, event: Event, step: NextStep) -> Option<CloseReason> {
+        let demanded = || match self.demand {
+            _ if self.rejecting => Some(CloseReason::NoCapacity),
+            CloseDemand::None => None,
+            CloseDemand::ForCapacity => Some(CloseReason::NoCapacity),
+            CloseDemand::Graceful | CloseDemand::Immediate => Some(CloseReason::Draining),
+        };
+        match (step, event) {
+            (NextStep::CancelRequest, _) => Some(CloseReason::RequestCancelled),
+            (_, Event::PeerClosed) => Some(CloseReason::PeerClosed),
+            (_, Event::WriteFailed) => Some(CloseReason::PeerNotReading),
+            (NextStep::Write { response: Response::RequestTimeout, .. }, _) => {
+                Some(CloseReason::RequestReadTimeout)
+            }
+            (NextStep::Write { response: Response::Refusal, .. }, _) => Some(CloseReason::RequestRefused),
+            (NextStep::Write { response: Response::Rejection, .. }, _) => {
+                demanded().or(Some(CloseReason::NoCapacity))
+            }
+            (NextStep::Write { last: true, .. }, _) => demanded().or(Some(CloseReason::LastResponse)),
+            (NextStep::LingeringClose, _) if before == State::Idle => {
+                demanded().or(Some(CloseReason::IdleTimeout))
+            }
+            (NextStep::LingeringClose, _) if before == State::AwaitingFirstRequest => {
+                demanded().or(Some(CloseReason::FirstRequestTimeout))
+            }
+            _ => None,
+        }
+    }
+
     /// A new connection; [`NextStep::Read`] is first.
     pub fn new(rejecting: bool) -> ConnectionState {
         ConnectionState { state: State::AwaitingFirstRequest, demand: CloseDemand::None, rejecting }
--- /dev/null
+++ b/crates/lifecycle/src/attempt.rs
@@ -0,0 +1,95 @@
+//! Attempts: one request on its way to one store.
+
+use std::time::Duration;
+
+use crate::Decision;
+use crate::reason::DenialReason;
+
+/// Where the request of an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestStatus {
+    /// Its client waits for the final answer.
+    Open,
+    /// It has its final answer.
+    Ended,
+    /// Its client has closed its connection.
+    ClientGone,
+}
+
+/// What the settings say of running a request twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    /// It may run any number of times.
+    Always,
+    /// Stores recognise a repeat for so long after the first.
+    Within(Duration),
+    /// It must not run twice.
+    Never,
+}
+
+/// How this gateway knows the store of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreStatus {
+    /// The list has it as gone, or not at all.
+    pub gone: bool,
+    /// When this gateway was notified that it drains.
+    pub drains_since: Option<Duration>,
+    /// How long it may be sent to after that.
+    pub drain_grace: Duration,
+}
+
+/// All that decides whether an attempt may begin. Times are on one monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptStart {
+    pub now: Duration,
+    /// Until when the attempt may take.
+    pub until: Duration,
+    pub request: RequestStatus,
+    pub store: StoreStatus,
+    pub repeats: Repeats,
+    /// When the first attempt of the request that may have run began.
+    pub may_have_run_since: Option<Duration>,
+}
+
+/// Whether the first byte of an attempt may be written now.
+///
+/// Invariant: no attempt for a request that has ended or whose client has gone (rule 1), none that may be a second
+/// effect (rule 2), none to a store past its grace (rule 3). Source: the protocol page, "The rules on sockets".
+///
+/// Hazard: its connection may come up late, and the settings, the list and the client change, after the attempt was
+/// decided on.
+pub fn may_begin(start: &AttemptStart) -> Decision<DenialReason> {
+    request_open(start.request)?;
+    may_run_again(start)?;
+    store_takes(&start.store, start.now)?;
+    if start.now < start.until { Ok(()) } else { Err(DenialReason::DeadlineOver) }
+}
+
+fn request_open(request: RequestStatus) -> Decision<DenialReason> {
+    match request {
+        RequestStatus::Open => Ok(()),
+        RequestStatus::Ended => Err(DenialReason::RequestEnded),
+        RequestStatus::ClientGone => Err(DenialReason::ClientGone),
+    }
+}
+
+fn may_run_again(start: &AttemptStart) -> Decision<DenialReason> {
+    let Some(since) = start.may_have_run_since else { return Ok(()) };
+    let may = match start.repeats {
+        Repeats::Always => true,
+        Repeats::Within(window) => start.now < since + window,
+        Repeats::Never => false,
+    };
+    if may { Ok(()) } else { Err(DenialReason::MayHaveRun) }
+}
+
+/// Whether a store may still be sent to.
+pub fn store_takes(store: &StoreStatus, now: Duration) -> Decision<DenialReason> {
+    if store.gone {
+        return Err(DenialReason::StoreGone);
+    }
+    match store.drains_since {
+        Some(since) if now >= since + store.drain_grace => Err(DenialReason::DrainGraceOver),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/lib.rs
@@ -0,0 +1,14 @@
+//! The lifecycle rules of a gateway process: whether something may be sent, repeated, closed, evicted or started now.
+//!
+//! Pure functions over plain data; no I/O, no clock, no chance. All times are monotonic spans. A rule returns
+//! [`Decision`]: allowed, or denied with a typed reason that the log lines and the [`Counters`] share.
+
+pub mod attempt;
+pub mod counters;
+pub mod reason;
+
+pub use counters::Counters;
+pub use reason::{Category, Reason};
+
+/// What a rule decides: go on, or do not, and why.
+pub type Decision<R> = Result<(), R>;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -14,11 +14,15 @@
 use umbertray_http::Malformed;
 use umbertray_http::connection::{CloseDemand, ConnectionState, Event, NextStep, Response, State};
 use umbertray_http::server::{self, Next, Request, Requests};
+use umbertray_lifecycle::reason::{CloseReason, RefusalReason};
 use umbertray_platform::{ClientId, Refused, Reply, words};
 
 use crate::hub::Hub;
 use crate::response::{refusal, refused, rendered};
 
+/// The status of a request that has the id of an open one.
+const DUPLICATE_ID: u16 = 409;
+
 /// What is there already.
 pub async fn at_once<T>(future: impl Future<Output = T>) -> Option<T> {
     tokio::select! {
@@ -32,6 +36,8 @@
 /// wait before the answer, dropping this tells so.
 struct Op {
     hub: Rc<Hub>,
+    /// As its client named it.
+    id: Box<str>,
     client: ClientId,
     answer: oneshot::Receiver<Reply>,
 }
@@ -49,7 +55,7 @@
     Nothing,
     Health(u16),
     Reply(Reply),
-    Refused(Refused),
+    Refused(Refused, RefusalReason),
 }
 
 pub struct Client {
@@ -69,6 +75,8 @@
     begun: Duration,
     /// When the time for what is done now is over.
     until: Instant,
+    /// Why the connection comes to its end, once it does.
+    closing: Option<CloseReason>,
 }
 
 impl Drop for Client {
@@ -85,7 +93,21 @@
             Instant::now() + if reject { hub.bounds.connect } else { hub.bounds.request_read_timeout };
         let (state, requests) = (ConnectionState::new(reject), Requests::new(hub.bounds.http));
         let (ahead, request, op, own, begun) = (None, None, None, Own::Nothing, Duration::ZERO);
-        Client { hub, id, stream, demand_raised, state, requests, ahead, request, op, own, begun, until }
+        Client {
+            hub,
+            id,
+            stream,
+            demand_raised,
+            state,
+            requests,
+            ahead,
+            request,
+            op,
+            own,
+            begun,
+            until,
+            closing: None,
+        }
     }
 
     pub async fn serve(mut self) {
@@ -98,10 +120,10 @@
                 NextStep::Write { response, last } => self.respond(response, last).await,
                 NextStep::LingeringClose => self.linger().await,
                 NextStep::CancelRequest => {
-                    tracing::debug!(id = self.id, "client left");
-                    return drop(self.op.take());
+                    drop(self.op.take());
+                    return self.closed();
                 }
-                NextStep::Close => return,
+                NextStep::Close => return self.closed(),
             };
             step = self.on(event);
         }
@@ -124,10 +146,27 @@
                 State::AwaitingResponse { .. } | State::WritingResponse { .. } | State::Closed => {}
             }
         }
+        if state != before {
+            tracing::debug!(connection = self.id, from = ?before, to = ?state, on = ?event, "connection state");
+        }
+        self.closing = self.closing.or_else(|| self.state.close_reason(before, event, step));
         self.hub.clients.update(self.id, &self.state, state != before);
         step
     }
 
+    fn closed(&self) {
+        let reason = self.closing.unwrap_or(CloseReason::PeerClosed);
+        self.hub.counters.count(reason);
+        tracing::debug!(connection = self.id, %reason, "connection closed");
+    }
+
+    fn refusal(&self, refused: &Refused, reason: RefusalReason) -> Bytes {
+        self.hub.counters.count(reason);
+        let Refused { status, what } = refused;
+        tracing::debug!(connection = self.id, status, what, %reason, "request refused");
+        refusal(refused)
+    }
+
     fn demand(&self) -> CloseDemand {
         demand(&self.hub, self.id)
     }
@@ -179,7 +218,7 @@
                     return Some(Event::RequestRead { op, persists });
                 }
                 Err(error) => {
-                    self.own = Own::Refused(refused(&error));
+                    self.own = Own::Refused(refused(&error), RefusalReason::Malformed);
                     return Some(Event::RequestRefused);
                 }
             }
@@ -218,7 +257,7 @@
         let took = self.hub.clock.now().saturating_sub(self.begun);
         // Hazard: without a word from the core it may have run.
         let reply = reply.unwrap_or(Reply::Aborted);
-        tracing::debug!(id = self.id, client = ?op.client, ?took, %reply, "answered");
+        tracing::debug!(connection = self.id, id = %op.id, client = ?op.client, ?took, %reply, "answered");
         self.own = Own::Reply(reply);
         self.answered()
     }
@@ -240,14 +279,17 @@
         let ask = match self.hub.check(request) {
             Ok(ask) => ask,
             Err(refused) => {
-                self.own = Own::Refused(refused);
+                let duplicate = refused.status == DUPLICATE_ID;
+                let reason =
+                    if duplicate { RefusalReason::DuplicateId } else { RefusalReason::NotAnOperation };
+                self.own = Own::Refused(refused, reason);
                 return Some(Event::RequestRefused);
             }
         };
         let (id, target, shard, left) = (ask.id.clone(), &request.target, ask.shard, ask.left);
         let (client, answer) = self.hub.ask(ask, self.begun);
-        tracing::debug!(id, ?client, %target, shard, ?left, phase = ?self.hub.phase(), "taken");
-        self.op = Some(Op { hub: self.hub.clone(), client, answer });
+        tracing::debug!(connection = self.id, id, ?client, %target, shard, ?left, phase = ?self.hub.phase(), "taken");
+        self.op = Some(Op { hub: self.hub.clone(), id, client, answer });
         None
     }
 
@@ -285,13 +327,18 @@
         let own = std::mem::replace(&mut self.own, Own::Nothing);
         let bytes = match (response, own) {
             (Response::Rejection, _) => {
-                tracing::debug!(open = self.hub.clients.len(), demand = ?self.state.demand(), "client rejected");
+                let draining = self.closing == Some(CloseReason::Draining);
+                let reason = if draining { RefusalReason::Draining } else { RefusalReason::NoCapacity };
+                self.hub.counters.count(reason);
+                let (open, demand) = (self.hub.clients.len(), self.state.demand());
+                tracing::debug!(connection = self.id, open, ?demand, %reason, "request refused");
                 rendered(&Reply::Throttled { retry_after: self.hub.bounds.retry_after }, last)
             }
             (Response::RequestTimeout, _) => {
-                refusal(&Refused { status: 408, what: "the request did not come whole in its time".into() })
+                let what = "the request did not come whole in its time".into();
+                self.refusal(&Refused { status: 408, what }, RefusalReason::RequestReadTimeout)
             }
-            (_, Own::Refused(refused)) => refusal(&refused),
+            (_, Own::Refused(refused, reason)) => self.refusal(&refused, reason),
             (_, Own::Health(status)) => server::answer(status, &[], b"", last),
             (_, Own::Reply(reply)) => rendered(&reply, last),
             (_, Own::Nothing) => rendered(&Reply::Aborted, last),
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -14,6 +14,8 @@
 use tokio::time::sleep_until;
 use umbertray_clock::Clock;
 use umbertray_http::server::Request;
+use umbertray_lifecycle::Counters;
+use umbertray_lifecycle::reason::{DenialReason, RetryReason, StoreCloseReason};
 use umbertray_platform::{Ask, Call, ClientId, Core, Deed, Input, Refused, Reply, Returned};
 
 use crate::bounds::Bounds;
@@ -47,6 +49,8 @@
     pub bounds: Bounds,
     pub pools: Pools,
     pub clients: ClientConnections,
+    /// How often each reason for a close, refusal, retry or denial came up.
+    pub counters: Rc<Counters>,
     /// Bytes that large answers hold.
     pub held: Arc<AtomicUsize>,
     /// The module asks to be told of changes, or for the whole list.
@@ -56,6 +60,7 @@
 
 impl Hub {
     pub fn new(core: Core, clock: Clock, bounds: Bounds) -> Hub {
+        let counters = Rc::new(Counters::default());
         Hub {
             core: RefCell::new(core),
             inputs: RefCell::default(),
@@ -66,8 +71,9 @@
             phase: watch::channel(Phase::Serving).0,
             clock,
             bounds,
-            pools: Pools::new(bounds),
+            pools: Pools::new(bounds, counters.clone()),
             clients: ClientConnections::default(),
+            counters,
             held: Arc::default(),
             subscribe: Notify::new(),
             fetch: Notify::new(),
@@ -98,11 +104,19 @@
         self.post(Input::Left(client));
     }
 
-    /// Danger: the core hears only at its next turn that a client has left.
-    pub fn begin(&self, call: Call) -> Option<Bytes> {
+    /// The bytes of an attempt whose connection stands; or why it must not begin. Hazard: the core hears only at its
+    /// next turn that a client has left.
+    pub fn begin(&self, call: Call) -> Result<Bytes, DenialReason> {
         let mut core = self.core.borrow_mut();
-        let client = core.client(call)?;
-        self.answers.borrow().contains_key(&client).then(|| core.begin(call, self.clock.now()))?
+        let client = core.client(call).ok_or(DenialReason::RequestEnded)?;
+        if !self.answers.borrow().contains_key(&client) {
+            return Err(DenialReason::ClientGone);
+        }
+        core.begin(call, self.clock.now())
+    }
+
+    pub fn retry_reason(&self, call: Call) -> Option<RetryReason> {
+        self.core.borrow().retry_reason(call)
     }
 
     pub fn id(&self, call: Call) -> Option<Box<str>> {
@@ -188,7 +202,11 @@
                     hub.post(Input::Probed { store, returned });
                 });
             }
-            Deed::Drop { address } => self.pools.forget(address),
+            Deed::Drop { address } => {
+                let closed = self.pools.forget(address);
+                (0..closed).for_each(|_| self.counters.count(StoreCloseReason::StoreLeft));
+                tracing::debug!(store = %address, closed, reason = %StoreCloseReason::StoreLeft, "store connections closed");
+            }
             Deed::Subscribe => self.subscribe.notify_one(),
             Deed::FetchList => self.fetch.notify_one(),
             Deed::Log(text) => tracing::info!(text, "said"),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,11 +18,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch as watched};
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use umbertray_clock::Clock;
 use umbertray_platform::config::ConfigError;
 use umbertray_platform::{Config, Core, Input};
@@ -73,6 +74,7 @@
     let followed = watch::follow(dial, hub.clone(), discovery, config.known.version, config.seed, asked);
     tokio::task::spawn_local(followed);
     tokio::task::spawn_local(store::tidy(hub.clone()));
+    tokio::task::spawn_local(report_counters(hub.clone()));
     tokio::task::spawn_local(listener::accept(hub.clone(), listener));
     tracing::info!(name = config.name, listen = %address, discovery = %config.discovery, "serving");
     listening(address);
@@ -88,7 +90,7 @@
             _ = interrupt.recv() => told_to_end.notify_one(),
             _ = hangup.recv() => match read(&file) {
                 Ok(new) => {
-                    tracing::info!(discovery = %new.discovery, "configuration read again");
+                    tracing::info!(discovery = %new.discovery, counters = %hub.counters, "configuration read again");
                     to_watch.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
                     if settings != new.settings {
                         settings = new.settings.clone();
@@ -102,6 +104,22 @@
     }
 }
 
+/// How often the counts by reason are told, where they have changed.
+const COUNTERS_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Tells the counts by reason at an interval, for as long as the gateway runs.
+async fn report_counters(hub: Rc<Hub>) {
+    let mut last = String::new();
+    loop {
+        sleep(COUNTERS_INTERVAL).await;
+        let now = hub.counters.to_string();
+        if now != last {
+            tracing::info!(counters = %now, "lifecycle counters");
+            last = now;
+        }
+    }
+}
+
 /// Once told so, goes on serving for as long as what comes can still be answered before SIGKILL: nobody else serves
 /// these clients until the next run of this gateway. Then ends idle connections, and returns when all that was taken
 /// is answered.
@@ -112,12 +130,13 @@
     } = hub.bounds;
     let at = |span| hub.clock.instant(hub.clock.now() + span).into();
     let (closing, end): (Instant, Instant) = (at(accept_until), at(drain_deadline));
-    tracing::info!(open = hub.open(), clients = hub.clients.len(), "stopping");
+    tracing::info!(open = hub.open(), clients = hub.clients.len(), counters = %hub.counters, "stopping");
     hub.post(Input::Ends(hub.clock.now() + retry_until));
     hub.enter(Phase::Leaving);
     sleep_until(closing).await;
     hub.enter(Phase::Closing);
     if timeout_at(end, hub.clients.empty()).await.is_ok() {
+        tracing::info!(counters = %hub.counters, "lifecycle counters");
         return;
     }
     // Danger: what was taken is lost without its whole answer, and this process may have come to it late. Who has sent
@@ -126,6 +145,7 @@
     // Danger: bytes that lie unread when the process ends reset their connections, and answers go with them.
     let parted = timeout(drain_close_timeout, hub.clients.empty()).await.is_ok();
     let clients = hub.clients.len();
+    tracing::info!(counters = %hub.counters, "lifecycle counters");
     match answered {
         true => tracing::info!(clients, parted, "stopped with open connections"),
         false => tracing::warn!(open = hub.open(), clients, "stopped with requests unanswered"),
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -24,6 +24,5 @@
 }
 
 pub fn refusal(Refused { status, what }: &Refused) -> Bytes {
-    tracing::debug!(status, what, "request refused");
     server::answer(*status, &[("Content-Type", b"text/plain")], format!("{what}\n").as_bytes(), true)
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -16,6 +16,8 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use umbertray_http::client::{self, Answers};
+use umbertray_lifecycle::Counters;
+use umbertray_lifecycle::reason::StoreCloseReason;
 use umbertray_platform::{Call, Returned, StoreId, words};
 
 use crate::bounds::Bounds;
@@ -40,6 +42,7 @@
 /// All connections to stores, in use and idle.
 pub struct Pools {
     bounds: Bounds,
+    counters: Rc<Counters>,
     /// By where they lead: a store may move, and its connections do not.
     pools: RefCell<HashMap<SocketAddr, Pool>>,
     open: Cell<usize>,
@@ -61,8 +64,8 @@
 }
 
 impl Pools {
-    pub fn new(bounds: Bounds) -> Pools {
-        Pools { bounds, pools: RefCell::default(), open: Cell::new(0), room: Notify::new() }
+    pub fn new(bounds: Bounds, counters: Rc<Counters>) -> Pools {
+        Pools { bounds, counters, pools: RefCell::default(), open: Cell::new(0), room: Notify::new() }
     }
 
     fn closed(&self, address: SocketAddr, connections: usize) {
@@ -94,7 +97,13 @@
             if silent(&stream) && since.elapsed() < self.bounds.store_idle {
                 break Some(stream);
             }
-            tracing::debug!(store = %address, rested = ?since.elapsed(), "a connection that stood idle has ended or is spoilt");
+            let idle_for = since.elapsed();
+            let over = idle_for >= self.bounds.store_idle;
+            self.closed_idle(
+                address,
+                if over { StoreCloseReason::IdleTimeout } else { StoreCloseReason::Spoilt },
+                idle_for,
+            );
             spoilt += 1;
         };
         self.closed(address, spoilt);
@@ -120,6 +129,9 @@
             };
             let oldest =
                 longest.and_then(|at| self.pools.borrow_mut().get_mut(&at).map(|pool| pool.idle.remove(0)));
+            if let Some((_, since)) = &oldest {
+                self.closed_idle(longest?, StoreCloseReason::Evicted, since.elapsed());
+            }
             self.closed(longest?, usize::from(oldest.is_some()));
         }
         let mut pools = self.pools.borrow_mut();
@@ -141,10 +153,18 @@
         self.room.notify_waiters();
     }
 
-    /// Closes what stands idle at a store.
-    pub fn forget(&self, address: SocketAddr) {
+    /// Counts and tells why an idle connection is closed.
+    fn closed_idle(&self, store: SocketAddr, reason: StoreCloseReason, idle_for: Duration) {
+        self.counters.count(reason);
+        tracing::debug!(%store, %reason, ?idle_for, "store connection closed");
+    }
+
+    /// Closes what stands idle at a store; how many that were.
+    pub fn forget(&self, address: SocketAddr) -> usize {
         let idle = self.pools.borrow_mut().get_mut(&address).map(|pool| std::mem::take(&mut pool.idle));
-        self.closed(address, idle.map_or(0, |idle| idle.len()));
+        let closed = idle.map_or(0, |idle| idle.len());
+        self.closed(address, closed);
+        closed
     }
 
     /// Closes what has stood idle for long, or has ended.
@@ -154,7 +174,15 @@
             let closed = self.pools.borrow_mut().get_mut(&address).map_or(0, |pool| {
                 let before = pool.idle.len();
                 let fresh = |since: &Instant| since.elapsed() < self.bounds.store_idle;
-                pool.idle.retain(|(stream, since)| fresh(since) && silent(stream));
+                pool.idle.retain(|(stream, since)| {
+                    let reason = match (fresh(since), silent(stream)) {
+                        (true, true) => return true,
+                        (false, _) => StoreCloseReason::IdleTimeout,
+                        (true, false) => StoreCloseReason::Spoilt,
+                    };
+                    self.closed_idle(address, reason, since.elapsed());
+                    false
+                });
                 before - pool.idle.len()
             });
             self.closed(address, closed);
@@ -205,10 +233,15 @@
 ) -> (Returned, Duration) {
     let (due, asked) = (hub.clock.instant(until).into(), hub.clock.now());
     let id = hub.id(call).unwrap_or_default();
-    tracing::debug!(id, op = call.op.0, call.dispatch, store = store.0, until = ?until.saturating_sub(asked), "sent on");
+    let attempt = call.dispatch;
+    tracing::debug!(id, op = call.op.0, attempt, store = store.0, until = ?until.saturating_sub(asked), "attempt");
+    if let Some(reason) = hub.retry_reason(call) {
+        hub.counters.count(reason);
+        tracing::debug!(id, op = call.op.0, attempt, %reason, "retry");
+    }
     let (returned, at) = carried(hub, call, address, due, written).await;
     let took = at.saturating_sub(asked);
-    tracing::debug!(id, op = call.op.0, call.dispatch, store = store.0, ?took, %returned, "returned");
+    tracing::debug!(id, op = call.op.0, attempt, store = store.0, ?took, %returned, "returned");
     (returned, at)
 }
 
@@ -221,10 +254,15 @@
 ) -> (Returned, Duration) {
     let sent = timeout_at(due, async {
         let mut link = hub.pools.link(address).await.ok_or(Returned::NeverWritten)?;
-        let Some(bytes) = hub.begin(call) else {
-            // Nothing went over it: the next dispatch has it.
-            hub.pools.put_back(link);
-            return Err(Returned::Withheld);
+        let bytes = match hub.begin(call) {
+            Ok(bytes) => bytes,
+            Err(reason) => {
+                hub.counters.count(reason);
+                tracing::debug!(op = call.op.0, attempt = call.dispatch, %reason, "attempt denied");
+                // Nothing went over it: the next attempt has it.
+                hub.pools.put_back(link);
+                return Err(Returned::Withheld);
+            }
         };
         write(&mut link, &bytes, written).await.ok_or(Returned::NeverWritten)?;
         Ok(link)
@@ -236,7 +274,11 @@
     };
     match timeout_at(due, answer(hub, link)).await {
         Ok(returned) => returned,
-        Err(_) => (Returned::TimedOut, hub.clock.now()),
+        Err(_) => {
+            hub.counters.count(StoreCloseReason::AttemptEnded);
+            tracing::debug!(op = call.op.0, attempt = call.dispatch, store = %address, reason = %StoreCloseReason::AttemptEnded, "store connection closed");
+            (Returned::TimedOut, hub.clock.now())
+        }
     }
 }
 
@@ -258,31 +300,46 @@
         let (read, ended) = match read {
             Ok(1..) => (answers.answer(), false),
             Ok(0) => (answers.closed(), true),
-            Err(_) => return (Returned::Broken, at),
+            Err(error) => {
+                closed(hub, &link, StoreCloseReason::AnswerBroken, &error);
+                return (Returned::Broken, at);
+            }
         };
         if !room.holds(answers.size()) {
-            tracing::warn!(store = %link.address, size = answers.size(), "no room for an answer");
+            hub.counters.count(StoreCloseReason::AnswerTooLarge);
+            tracing::warn!(store = %link.address, size = answers.size(), reason = %StoreCloseReason::AnswerTooLarge, "no room for an answer");
             return (Returned::Broken, at);
         }
         match read {
-            Ok(None) if ended => return (Returned::Broken, at),
+            Ok(None) if ended => {
+                closed(hub, &link, StoreCloseReason::AnswerBroken, &"ended before the answer was whole");
+                return (Returned::Broken, at);
+            }
             Ok(None) => {}
             Ok(Some(mut answer)) => {
                 answer.body = room.keeping(answer.body);
                 // Danger: what came behind the answer belongs to no request; the next would be answered with it.
                 if !ended && answer.head.persists && answers.bytes.is_empty() {
                     hub.pools.put_back(link);
+                } else {
+                    closed(hub, &link, StoreCloseReason::LastAnswer, &"not to be used again");
                 }
                 return (Returned::Answer(answer), at);
             }
             Err(error) => {
-                tracing::debug!(store = %link.address, %error, "answer not read");
+                closed(hub, &link, StoreCloseReason::AnswerBroken, &error);
                 return (Returned::Broken, at);
             }
         }
     }
 }
 
+/// Counts and tells why a connection to a store that was in use is closed.
+fn closed(hub: &Hub, link: &Link, reason: StoreCloseReason, detail: &dyn std::fmt::Display) {
+    hub.counters.count(reason);
+    tracing::debug!(store = %link.address, %reason, %detail, "store connection closed");
+}
+
 /// Room for one answer in what all may hold; given back when the last of its bytes is let go.
 struct Room {
     held: Arc<AtomicUsize>,
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -12,6 +12,8 @@
 };
 use umbertray_http::Headers;
 use umbertray_http::{client, server};
+use umbertray_lifecycle::attempt::{self, AttemptStart, Repeats, RequestStatus, StoreStatus};
+use umbertray_lifecycle::reason::{DenialReason, RetryReason};
 
 use crate::ask::{Ask, Names, Refused};
 use crate::config::{Config, span};
@@ -155,6 +157,8 @@
     sent: u32,
     /// When the first dispatch that may have run began.
     ran_at: Option<Duration>,
+    /// How the attempt that came back last ended.
+    previous: Option<RetryReason>,
     ended: bool,
 }
 
@@ -176,9 +180,8 @@
 }
 
 impl Store {
-    /// Rule 3: a dispatch that waited for its connection must not begin after the grace.
-    fn takes(&self, now: Duration, grace: Duration) -> bool {
-        self.state != StoreState::Gone && self.left_at.is_none_or(|at| now < at + grace)
+    fn status(&self, drain_grace: Duration) -> StoreStatus {
+        StoreStatus { gone: self.state == StoreState::Gone, drains_since: self.left_at, drain_grace }
     }
 }
 
@@ -227,17 +230,16 @@
     refused.map_or(Ok(names), Err)
 }
 
-/// Rule 2, at a dispatch's first byte. Danger: its connection may come up late, or the settings change, after the module
-/// has decided on it; stores remember a mark only for a span, and a once-only op may not run again at all.
-fn repeatable(settings: &Settings, op_type: usize, ran_at: Option<Duration>, now: Duration) -> bool {
-    let Some(ran_at) = ran_at else { return true };
+/// What the settings say of running an op type twice. Stores remember the mark of one for a span, and tell its end apart
+/// by a tick of the settings.
+fn repeats(settings: &Settings, op_type: usize) -> Repeats {
     match settings.get(&format!("op_types.{op_type}.repeats")).map(String::as_str) {
-        Some("replayable") => true,
+        Some("replayable") => Repeats::Always,
         Some("deduplicated") => {
             let remembered = span(settings, &format!("op_types.{op_type}.dedup_span")).unwrap_or_default();
-            now + span(settings, "tick").unwrap_or_default() < ran_at + remembered
+            Repeats::Within(remembered.saturating_sub(span(settings, "tick").unwrap_or_default()))
         }
-        _ => false,
+        _ => Repeats::Never,
     }
 }
 
@@ -330,20 +332,34 @@
         self.ops.get(&call.op).filter(|door| !door.ended).map(|door| door.client)
     }
 
-    /// The bytes of a dispatch, once a connection for it stands. Nothing, if its op has its final answer by now, its
-    /// store is not to be used any more, or it would be a second effect by now (rules 1 to 3): it is then withheld.
-    pub fn begin(&mut self, call: Call, now: Duration) -> Option<Bytes> {
-        let may_repeat = |door: &Door| repeatable(&self.settings, door.ask.op_type, door.ran_at, now);
-        let door = self.ops.get_mut(&call.op).filter(|door| !door.ended && may_repeat(door))?;
-        let out = door.out.iter_mut().find(|out| out.dispatch == call.dispatch && now < out.until)?;
-        let store = self.stores.get(&out.store).filter(|store| store.takes(now, self.grace))?;
+    /// The bytes of an attempt, once a connection for it stands; or why it must not begin any more ([`attempt`]).
+    pub fn begin(&mut self, call: Call, now: Duration) -> Result<Bytes, DenialReason> {
+        let door = self.ops.get_mut(&call.op).ok_or(DenialReason::RequestEnded)?;
+        let out = door.out.iter_mut().find(|out| out.dispatch == call.dispatch);
+        let out = out.ok_or(DenialReason::RequestEnded)?;
+        let store = self.stores.get(&out.store).ok_or(DenialReason::StoreGone)?;
+        attempt::may_begin(&AttemptStart {
+            now,
+            until: out.until,
+            request: if door.ended { RequestStatus::Ended } else { RequestStatus::Open },
+            store: store.status(self.grace),
+            repeats: repeats(&self.settings, door.ask.op_type),
+            may_have_run_since: door.ran_at,
+        })?;
         out.begun_at = Some(now);
         let left = (out.until - now).as_millis().to_string();
         let (host, ask) = (store.address.to_string(), &door.ask);
         let mut told = vec![(words::ID, ask.id.as_bytes()), (words::TIME_LEFT, left.as_bytes())];
         // Danger: without its mark a repeat is a second effect (rule 2), and to the store not what its client sent.
         told.extend(ask.mark.as_ref().map(|mark| (words::MARK, &mark[..])));
-        Some(client::request(ask.method, &ask.target, &host, &told, &ask.body))
+        Ok(client::request(ask.method, &ask.target, &host, &told, &ask.body))
+    }
+
+    /// Why this attempt is not the first of its request; nothing for the first.
+    pub fn retry_reason(&self, call: Call) -> Option<RetryReason> {
+        let door = self.ops.get(&call.op).filter(|_| call.dispatch > 0)?;
+        let another_out = door.out.iter().any(|out| out.dispatch != call.dispatch);
+        if another_out { Some(RetryReason::Hedged) } else { door.previous }
     }
 
     fn take(&mut self, input: Input) {
@@ -423,7 +439,10 @@
         }));
         self.open.insert(ask.id.clone());
         self.clients.insert(client, id);
-        self.ops.insert(id, Door { client, ask, out: Vec::new(), sent: 0, ran_at: None, ended: false });
+        self.ops.insert(
+            id,
+            Door { client, ask, out: Vec::new(), sent: 0, ran_at: None, previous: None, ended: false },
+        );
     }
 
     /// The op has its final answer, or nobody waits for one.
@@ -454,6 +473,7 @@
         if !matches!(outcome(&returned), Outcome::ConnectFailed | Outcome::Full | Outcome::Moot) {
             door.ran_at = door.ran_at.or(out.begun_at);
         }
+        door.previous = retry_reason(&returned);
         let was_ended = door.ended;
         let mut answer = Answer {
             op: call.op,
@@ -583,6 +603,22 @@
     text.trim().parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)
 }
 
+/// How an attempt ended, as the reason of the next one; nothing where it was served.
+fn retry_reason(returned: &Returned) -> Option<RetryReason> {
+    match returned {
+        Returned::Answer(_) => match outcome(returned) {
+            Outcome::Acked => None,
+            Outcome::Full => Some(RetryReason::TurnedAway),
+            _ => Some(RetryReason::StoreError),
+        },
+        Returned::NeverWritten => Some(RetryReason::NotSent),
+        Returned::Broken => Some(RetryReason::ConnectionLost),
+        Returned::TimedOut => Some(RetryReason::TimedOut),
+        Returned::Cancelled => Some(RetryReason::Cancelled),
+        Returned::Withheld => Some(RetryReason::Denied),
+    }
+}
+
 fn outcome(returned: &Returned) -> Outcome {
     match returned {
         Returned::Answer(answer) => {
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -7,6 +7,7 @@
 use umbertray_http::client::Answers;
 use umbertray_http::server::{Next, Request, Requests};
 use umbertray_http::{Limits, client};
+use umbertray_lifecycle::reason::DenialReason;
 use umbertray_platform::list::{Line, Lines, List};
 use umbertray_platform::{Call, ClientId, Config, Core, Deed, Input, Refused, Reply, Returned};
 
@@ -373,7 +374,11 @@
     let (_, deeds) = world.ask(&look(1));
     world.pass(ms(900));
     let call = sent(&deeds)[0].0;
-    assert_eq!(world.core.begin(call, world.now), None, "rule 1: nothing after the final answer");
+    assert_eq!(
+        world.core.begin(call, world.now),
+        Err(DenialReason::RequestEnded),
+        "rule 1: nothing after the final answer"
+    );
     let deeds = world.returned(call, ok());
     assert!(answers(&deeds).is_empty() && sent(&deeds).is_empty());
     assert!(world.returned(call, ok()).is_empty(), "forgotten");
@@ -385,7 +390,7 @@
     let (client, deeds) = world.ask(&look(1));
     world.tell(vec![Input::Left(client)]);
     let call = sent(&deeds)[0].0;
-    assert_eq!(world.core.begin(call, world.now), None);
+    assert_eq!(world.core.begin(call, world.now), Err(DenialReason::RequestEnded));
     assert!(answers(&world.returned(call, Returned::NeverWritten)).is_empty());
     assert!(world.core.check(&look(1)).is_ok(), "its id is free");
 }
@@ -397,13 +402,21 @@
     let (_, first) = world.ask(&look(1));
     let first = sent(&first)[0].0;
     world.tell(vec![Input::List(read(list(2, false, &[entry("s0", 0, "draining", 0)])))]);
-    assert!(world.core.begin(first, world.now + ms(500)).is_some(), "rule 3: within the grace");
-    assert_eq!(world.core.begin(first, world.now + ms(1000)), None, "rule 3: beyond the grace");
+    assert!(world.core.begin(first, world.now + ms(500)).is_ok(), "rule 3: within the grace");
+    assert_eq!(
+        world.core.begin(first, world.now + ms(1000)),
+        Err(DenialReason::DrainGraceOver),
+        "rule 3: beyond the grace"
+    );
     for dropped in [1, 0] {
         let deeds = world.tell(vec![Input::List(read(list(3, true, &[entry("s1", 1, "ready", 0)])))]);
         assert_eq!(deeds.iter().filter(|deed| matches!(deed, Deed::Drop { .. })).count(), dropped);
     }
-    assert_eq!(world.core.begin(first, world.now), None, "rule 3: gone from the whole list");
+    assert_eq!(
+        world.core.begin(first, world.now),
+        Err(DenialReason::StoreGone),
+        "rule 3: gone from the whole list"
+    );
 }
 
 #[test]
@@ -517,7 +530,7 @@
     let mut world = World::with(&marked, &[entry("s0", 0, "ready", 0)]);
     let (_, deeds) = world.ask(&order(1));
     let (first, _) = sent(&deeds)[0];
-    assert!(world.core.begin(first, world.now).is_some());
+    assert!(world.core.begin(first, world.now).is_ok());
     world.pass(ms(20));
     let mut again = world.returned(first, Returned::Broken);
     again.extend(world.pass(ms(130)));
@@ -530,12 +543,12 @@
 /// Rule 2: it began when stores had forgotten the mark.
 #[test]
 fn a_further_dispatch_does_not_begin_once_its_mark_is_forgotten() {
-    for (wait, begins) in [(400, true), (500, false)] {
+    for (wait, expected) in [(400, Ok(())), (500, Err(DenialReason::MayHaveRun))] {
         let (mut world, second) = decided_again(MARKED);
         world.now += ms(wait);
         assert_eq!(
-            world.core.begin(second, world.now).is_some(),
-            begins,
+            world.core.begin(second, world.now).map(drop),
+            expected,
             "{wait} ms after it was decided on"
         );
         world.returned(second, Returned::Withheld);
@@ -546,11 +559,11 @@
 #[test]
 fn a_further_dispatch_does_not_begin_once_its_op_type_may_run_once_only() {
     let (mut world, second) = decided_again(MARKED);
-    assert!(world.core.begin(second, world.now).is_some());
+    assert!(world.core.begin(second, world.now).is_ok());
     let (mut world, second) = decided_again(MARKED);
     let once_only = Config::read(&config(SETTINGS, &list(1, true, &[]))).expect("a configuration").settings;
     world.tell(vec![Input::Changed(once_only)]);
-    assert_eq!(world.core.begin(second, world.now), None);
+    assert_eq!(world.core.begin(second, world.now), Err(DenialReason::MayHaveRun));
 }
 
 /// What a client that has left asked for is called off, wherever it is; what was written whole stays out.
@@ -562,7 +575,8 @@
     assert_eq!(world.core.client(call), Some(client));
     let deeds = world.tell(vec![Input::Left(client)]);
     assert!(deeds.contains(&Deed::Withhold { call }), "{deeds:?}");
-    assert_eq!((world.core.client(call), world.core.begin(call, world.now)), (None, None));
+    assert_eq!(world.core.client(call), None);
+    assert_eq!(world.core.begin(call, world.now), Err(DenialReason::RequestEnded));
     // That this gateway called it off tells nothing of its store: the next goes there at once.
     world.returned(call, Returned::Withheld);
     let (_, deeds) = world.ask(&look(2));
@@ -680,7 +694,11 @@
         assert_eq!(sent(&early).is_empty(), known == "draining", "{early:?}");
         world.tell(vec![told(2, "draining")]);
         if let Some((call, _)) = sent(&early).first() {
-            assert_eq!(world.core.begin(*call, world.now), None, "rule 3: decided on the earlier list");
+            assert_eq!(
+                world.core.begin(*call, world.now),
+                Err(DenialReason::DrainGraceOver),
+                "rule 3: decided on the earlier list"
+            );
         }
         assert!(sent(&world.ask(&look(2)).1).is_empty(), "known as {known}");
         // What comes from then on is as new as it seems.
