Reproduce the incident over sockets: clients that stop within a request get no word

A real umbertray node on loopback, 16 ways to stop (line, head, body, chunk; at once, after an answer, trickled).

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -7,4 +7,6 @@
 mod serving;
 mod signals;
 mod sizes;
+
+mod stopped_clients;
 mod store_endings;
