--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -5,10 +5,13 @@
 
 pub mod attempt;
 pub mod counters;
+pub mod limits;
 pub mod reason;
+pub mod timeouts;
 
 pub use counters::Counters;
 pub use reason::{Category, Reason};
+pub use timeouts::{SettingsTimes, Timeouts};
 
 /// What a rule decides: go on, or do not, and why.
 pub type Decision<R> = Result<(), R>;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -14,6 +14,7 @@
 use umbertray_http::Malformed;
 use umbertray_http::connection::{CloseDemand, ConnectionState, Event, NextStep, Response, State};
 use umbertray_http::server::{self, Next, Request, Requests};
+use umbertray_lifecycle::limits::HOLD_UP;
 use umbertray_lifecycle::reason::{CloseReason, RefusalReason};
 use umbertray_platform::{ClientId, Refused, Reply, words};
 
@@ -89,8 +90,9 @@
     pub fn new(hub: Rc<Hub>, id: u64, stream: TcpStream, reject: bool) -> Client {
         let demand_raised = Rc::new(Notify::new());
         hub.clients.insert(id, demand_raised.clone());
+        let timeouts = &hub.bounds.timeouts;
         let until =
-            Instant::now() + if reject { hub.bounds.connect } else { hub.bounds.request_read_timeout };
+            Instant::now() + if reject { timeouts.first_request_rejecting } else { timeouts.first_request };
         let (state, requests) = (ConnectionState::new(reject), Requests::new(hub.bounds.http));
         let (ahead, request, op, own, begun) = (None, None, None, Own::Nothing, Duration::ZERO);
         Client {
@@ -136,14 +138,17 @@
         let (state, bounds, now) = (self.state.state(), &self.hub.bounds, Instant::now());
         if state != before {
             match state {
-                State::Idle => self.until = now + bounds.client_idle,
-                State::ReadingRequest { served_before: true } => {
-                    self.until = now + bounds.request_read_timeout
+                State::Idle => self.until = now + bounds.timeouts.client_idle,
+                State::ReadingRequest { served_before: true } => self.until = self.request_read_until(now),
+                State::LingeringClose => self.until = now + bounds.timeouts.linger,
+                // The first request has the time that runs already, where that is shorter.
+                State::ReadingRequest { served_before: false } => {
+                    self.until = self.until.min(self.request_read_until(now))
                 }
-                State::LingeringClose => self.until = now + bounds.linger_timeout,
-                // The first request is to come whole in the time that runs already.
-                State::ReadingRequest { served_before: false } | State::AwaitingFirstRequest => {}
-                State::AwaitingResponse { .. } | State::WritingResponse { .. } | State::Closed => {}
+                State::AwaitingFirstRequest
+                | State::AwaitingResponse { .. }
+                | State::WritingResponse { .. }
+                | State::Closed => {}
             }
         }
         if state != before {
@@ -154,6 +159,14 @@
         step
     }
 
+    /// Until when the request has to be whole whose first byte has been read. Hazard: it may have been read long ago,
+    /// behind a request that was open; what its client has sent since may still be on its way through a window that
+    /// was shut.
+    fn request_read_until(&self, now: Instant) -> Instant {
+        let begun = self.hub.clock.instant(self.begun);
+        (begun + self.hub.bounds.timeouts.request_read).max(now + HOLD_UP)
+    }
+
     fn closed(&self) {
         let reason = self.closing.unwrap_or(CloseReason::PeerClosed);
         self.hub.counters.count(reason);
@@ -314,7 +327,7 @@
     }
 
     async fn write(&mut self, bytes: Bytes) -> Event {
-        let write = timeout(self.hub.bounds.request_read_timeout, self.stream.write_all(&bytes));
+        let write = timeout(self.hub.bounds.timeouts.response_write, self.stream.write_all(&bytes));
         let written = match self.state.demand() {
             // Others wait for its room; so few bytes go out at once, unless it has not read what it had before.
             CloseDemand::ForCapacity => at_once(write).await,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{Notify, watch as watched};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use umbertray_clock::Clock;
+use umbertray_lifecycle::Timeouts;
 use umbertray_platform::config::ConfigError;
 use umbertray_platform::{Config, Core, Input};
 
@@ -125,9 +126,8 @@
 /// is answered.
 async fn stop(hub: &Hub, told: &Notify) {
     told.notified().await;
-    let Bounds {
-        accept_until, retry_until, drain_deadline, request_read_timeout, drain_close_timeout, ..
-    } = hub.bounds;
+    let Timeouts { accept_until, retry_until, drain_deadline, response_write, drain_close, .. } =
+        hub.bounds.timeouts;
     let at = |span| hub.clock.instant(hub.clock.now() + span).into();
     let (closing, end): (Instant, Instant) = (at(accept_until), at(drain_deadline));
     tracing::info!(open = hub.open(), clients = hub.clients.len(), counters = %hub.counters, "stopping");
@@ -141,9 +141,9 @@
     }
     // Danger: what was taken is lost without its whole answer, and this process may have come to it late. Who has sent
     // no whole request by now is turned away.
-    let answered = timeout(request_read_timeout, hub.clients.all_answered()).await.is_ok();
+    let answered = timeout(response_write, hub.clients.all_answered()).await.is_ok();
     // Danger: bytes that lie unread when the process ends reset their connections, and answers go with them.
-    let parted = timeout(drain_close_timeout, hub.clients.empty()).await.is_ok();
+    let parted = timeout(drain_close, hub.clients.empty()).await.is_ok();
     let clients = hub.clients.len();
     tracing::info!(counters = %hub.counters, "lifecycle counters");
     match answered {
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -32,7 +32,7 @@
             Err(error) => {
                 tracing::warn!(%error, "no client accepted");
                 if !hub.clients.make_room().await {
-                    sleep(hub.bounds.connect).await;
+                    sleep(hub.bounds.timeouts.connect).await;
                 }
                 continue;
             }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -92,13 +92,13 @@
                 .pools
                 .borrow_mut()
                 .get_mut(&address)
-                .and_then(|pool| pool.rested(self.bounds.reuse_delay));
+                .and_then(|pool| pool.rested(self.bounds.timeouts.reuse_delay));
             let Some((stream, since)) = rested else { break None };
-            if silent(&stream) && since.elapsed() < self.bounds.store_idle {
+            if silent(&stream) && since.elapsed() < self.bounds.timeouts.store_idle {
                 break Some(stream);
             }
             let idle_for = since.elapsed();
-            let over = idle_for >= self.bounds.store_idle;
+            let over = idle_for >= self.bounds.timeouts.store_idle;
             self.closed_idle(
                 address,
                 if over { StoreCloseReason::IdleTimeout } else { StoreCloseReason::Spoilt },
@@ -114,7 +114,7 @@
     async fn rest(&self, address: SocketAddr) {
         let oldest = self.pools.borrow().get(&address).and_then(|pool| Some(pool.idle.first()?.1));
         match oldest {
-            Some(since) => sleep_until((since + self.bounds.reuse_delay).into()).await,
+            Some(since) => sleep_until((since + self.bounds.timeouts.reuse_delay).into()).await,
             None => pending().await,
         }
     }
@@ -173,7 +173,7 @@
         for address in addresses {
             let closed = self.pools.borrow_mut().get_mut(&address).map_or(0, |pool| {
                 let before = pool.idle.len();
-                let fresh = |since: &Instant| since.elapsed() < self.bounds.store_idle;
+                let fresh = |since: &Instant| since.elapsed() < self.bounds.timeouts.store_idle;
                 pool.idle.retain(|(stream, since)| {
                     let reason = match (fresh(since), silent(stream)) {
                         (true, true) => return true,
@@ -202,7 +202,8 @@
                 continue;
             }
             if let Some(mut link) = self.slot(address) {
-                let stream = timeout(self.bounds.connect, TcpStream::connect(address)).await.ok()?.ok()?;
+                let stream =
+                    timeout(self.bounds.timeouts.connect, TcpStream::connect(address)).await.ok()?.ok()?;
                 _ = stream.set_nodelay(true);
                 link.stream = Some(stream);
                 yield_now().await;
@@ -389,7 +390,7 @@
 /// Asks a store for its load.
 pub async fn probe(hub: &Rc<Hub>, address: SocketAddr) -> Returned {
     let written = Cell::new(false);
-    let asked = timeout(hub.bounds.connect, async {
+    let asked = timeout(hub.bounds.timeouts.connect, async {
         let mut link = hub.pools.link(address).await?;
         let bytes = client::request("GET", words::STATS, &address.to_string(), &[], b"");
         write(&mut link, &bytes, &written).await?;
@@ -405,7 +406,7 @@
 /// Looks after what stands idle, for as long as the gateway runs.
 pub async fn tidy(hub: Rc<Hub>) {
     loop {
-        sleep(hub.bounds.connect).await;
+        sleep(hub.bounds.timeouts.store_sweep).await;
         hub.pools.tidy();
     }
 }
--- a/crates/platform/src/words.rs
+++ b/crates/platform/src/words.rs
@@ -32,13 +32,6 @@
 /// How often a watch shows a sign of life.
 pub const SIGN_OF_LIFE: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// SIGKILL follows SIGTERM no sooner than the longest op timeout, or this where that is longer, and so much more.
-pub const KILLED_AFTER: std::time::Duration = std::time::Duration::from_secs(3);
-pub const KILLED_AFTER_THAT: std::time::Duration = std::time::Duration::from_millis(700);
-
-/// After SIGTERM new connections still come for so long.
-pub const STILL_COMING: std::time::Duration = std::time::Duration::from_millis(400);
-
 /// Where changes after a version of the list are told as they come.
 pub fn watch(after: u64) -> String {
     format!("{STORES}?watch=1&after={after}")
