Show that the front keeps the times of its first configuration after SIGHUP

Second cause of the incident's class: Bounds is made once in run(); a new configuration reaches the module alone. A drain after 0.9 s became 6 s answers 500 (wanted 200); connections idle since before 20 s became 0.6 s stay open beyond 2 s. Ten configurations in a row, half of them wrong, lose nothing.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod bad_peers;
 mod common;
 mod endings;
+mod reloads;
 mod serving;
 mod signals;
 mod sizes;
