Make the front's bounds and waits anew with each configuration, whole or not at all

Cause: Bounds was made once in crates/node/src/lib.rs run(); SIGHUP posted new settings to the module only. Class: what is derived from the settings, kept where a change does not reach.

Change: Hub::reconfigure is the one way: bounds and waits, then the module, or an error and no change; it is told by a watch channel. Idle connections of clients and to stores go by the idle time in force, a connection without a request by the stricter one; a request, an attempt and a drain that have begun keep their time. Whether lists are asked for goes by the configuration in force too. Signals that come together are taken SIGHUP first.

Found beside it: settings that Bounds cannot read but the module can were taken by the module alone; they are refused whole now. A changed listen, name or seed is named in the log.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -14,6 +14,7 @@
 use umbertray_http::Malformed;
 use umbertray_http::connection::{CloseDemand, ConnectionState, Event, NextStep, Response, State};
 use umbertray_http::server::{self, Next, Request, Requests};
+use umbertray_lifecycle::Timeouts;
 use umbertray_lifecycle::limits::HOLD_UP;
 use umbertray_lifecycle::reason::{CloseReason, RefusalReason};
 use umbertray_platform::{ClientId, Refused, Reply, words};
@@ -74,7 +75,8 @@
     own: Own,
     /// When the first byte of the request that is next, or now open, was read.
     begun: Duration,
-    /// When the time for what is done now is over.
+    /// When the state it is in began, and when the time for it is over.
+    entered: Instant,
     until: Instant,
     /// Why the connection comes to its end, once it does.
     closing: Option<CloseReason>,
@@ -90,10 +92,10 @@
     pub fn new(hub: Rc<Hub>, id: u64, stream: TcpStream, reject: bool) -> Client {
         let demand_raised = Rc::new(Notify::new());
         hub.clients.insert(id, demand_raised.clone());
-        let timeouts = &hub.bounds.timeouts;
-        let until =
-            Instant::now() + if reject { timeouts.first_request_rejecting } else { timeouts.first_request };
-        let (state, requests) = (ConnectionState::new(reject), Requests::new(hub.bounds.http));
+        let timeouts = &hub.bounds().timeouts;
+        let entered = Instant::now();
+        let until = entered + if reject { timeouts.first_request_rejecting } else { timeouts.first_request };
+        let (state, requests) = (ConnectionState::new(reject), Requests::new(hub.bounds().http));
         let (ahead, request, op, own, begun) = (None, None, None, Own::Nothing, Duration::ZERO);
         Client {
             hub,
@@ -107,6 +109,7 @@
             op,
             own,
             begun,
+            entered,
             until,
             closing: None,
         }
@@ -135,8 +138,9 @@
         self.state.raise_demand(self.demand());
         let before = self.state.state();
         let step = self.state.on(event);
-        let (state, bounds, now) = (self.state.state(), &self.hub.bounds, Instant::now());
+        let (state, bounds, now) = (self.state.state(), self.hub.bounds(), Instant::now());
         if state != before {
+            self.entered = now;
             match state {
                 State::Idle => self.until = now + bounds.timeouts.client_idle,
                 State::ReadingRequest { served_before: true } => self.until = self.request_read_until(now),
@@ -164,7 +168,18 @@
     /// was shut.
     fn request_read_until(&self, now: Instant) -> Instant {
         let begun = self.hub.clock.instant(self.begun);
-        (begun + self.hub.bounds.timeouts.request_read).max(now + HOLD_UP)
+        (begun + self.hub.bounds().timeouts.request_read).max(now + HOLD_UP)
+    }
+
+    /// An idle connection goes by the bounds in force, one without a request by the stricter ones. A request that has
+    /// begun keeps its time.
+    fn bounds_changed(&mut self, state: State) {
+        let Timeouts { client_idle, first_request, .. } = self.hub.bounds().timeouts;
+        match state {
+            State::Idle => self.until = self.entered + client_idle,
+            State::AwaitingFirstRequest => self.until = self.until.min(self.entered + first_request),
+            _ => {}
+        }
     }
 
     fn closed(&self) {
@@ -193,6 +208,7 @@
             if self.requests.begun() && !matches!(self.state.state(), State::ReadingRequest { .. }) {
                 return Event::PartialRead;
             }
+            let (mut changes, reading) = (self.hub.bounds_changes(), self.state.state());
             let (until, demand_raised) = (self.until, self.demand_raised.clone());
             let raised = raised(self.hub.clone(), self.id, demand_raised, self.state.demand());
             tokio::select! {
@@ -203,6 +219,7 @@
                     Err(_) => return Event::TimedOut,
                 },
                 () = raised => return Event::DemandChanged,
+                _ = changes.changed() => self.bounds_changed(reading),
             }
             if let Some(event) = self.parsed().await {
                 return event;
@@ -241,7 +258,7 @@
     /// Reads what there is; false once the client has gone.
     async fn fill(&mut self) -> bool {
         let fresh = !self.requests.begun();
-        self.requests.bytes.reserve(self.hub.bounds.http.head / 2);
+        self.requests.bytes.reserve(self.hub.bounds().http.head / 2);
         let read = self.stream.read_buf(&mut self.requests.bytes).await;
         if fresh {
             self.begun = self.hub.clock.now();
@@ -318,7 +335,7 @@
     /// of its connection is waited for, which shows although there is more to be read: tokio's interest in what is
     /// urgent is woken by that, and not by bytes.
     async fn gone(&mut self) {
-        while self.requests.bytes.len() < self.hub.bounds.ahead {
+        while self.requests.bytes.len() < self.hub.bounds().ahead {
             if !self.fill().await {
                 return;
             }
@@ -327,7 +344,7 @@
     }
 
     async fn write(&mut self, bytes: Bytes) -> Event {
-        let write = timeout(self.hub.bounds.timeouts.response_write, self.stream.write_all(&bytes));
+        let write = timeout(self.hub.bounds().timeouts.response_write, self.stream.write_all(&bytes));
         let written = match self.state.demand() {
             // Others wait for its room; so few bytes go out at once, unless it has not read what it had before.
             CloseDemand::ForCapacity => at_once(write).await,
@@ -345,7 +362,7 @@
                 self.hub.counters.count(reason);
                 let (open, demand) = (self.hub.clients.len(), self.state.demand());
                 tracing::debug!(connection = self.id, open, ?demand, %reason, "request refused");
-                rendered(&Reply::Throttled { retry_after: self.hub.bounds.retry_after }, last)
+                rendered(&Reply::Throttled { retry_after: self.hub.bounds().retry_after }, last)
             }
             (Response::RequestTimeout, _) => {
                 let what = "the request did not come whole in its time".into();
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -16,7 +16,7 @@
 use umbertray_http::server::Request;
 use umbertray_lifecycle::Counters;
 use umbertray_lifecycle::reason::{DenialReason, RetryReason, StoreCloseReason};
-use umbertray_platform::{Ask, Call, ClientId, Core, Deed, Input, Refused, Reply, Returned};
+use umbertray_platform::{Ask, Call, ClientId, Config, Core, Deed, Input, Refused, Reply, Returned};
 
 use crate::bounds::Bounds;
 use crate::client_connections::ClientConnections;
@@ -46,7 +46,7 @@
     next_client: Cell<u64>,
     phase: watch::Sender<Phase>,
     pub clock: Clock,
-    pub bounds: Bounds,
+    bounds: Rc<watch::Sender<Bounds>>,
     pub pools: Pools,
     pub clients: ClientConnections,
     /// How often each reason for a close, refusal, retry or denial came up.
@@ -61,6 +61,7 @@
 impl Hub {
     pub fn new(core: Core, clock: Clock, bounds: Bounds) -> Hub {
         let counters = Rc::new(Counters::default());
+        let bounds = Rc::new(watch::channel(bounds).0);
         Hub {
             core: RefCell::new(core),
             inputs: RefCell::default(),
@@ -70,8 +71,8 @@
             next_client: Cell::new(0),
             phase: watch::channel(Phase::Serving).0,
             clock,
+            pools: Pools::new(bounds.clone(), counters.clone()),
             bounds,
-            pools: Pools::new(bounds, counters.clone()),
             clients: ClientConnections::default(),
             counters,
             held: Arc::default(),
@@ -80,6 +81,26 @@
         }
     }
 
+    /// The bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        *self.bounds.borrow()
+    }
+
+    /// Tells of each change of the bounds from now on.
+    pub fn bounds_changes(&self) -> watch::Receiver<Bounds> {
+        self.bounds.subscribe()
+    }
+
+    /// Puts a new configuration in force: bounds and module, or neither. Invariant: what is made of the settings has
+    /// this one way to change; what a request, an attempt or a drain was promised when it began keeps its time.
+    pub fn reconfigure(&self, config: &Config) -> Result<(), String> {
+        let bounds = Bounds::of(config)?;
+        self.core.borrow_mut().reconfigure(config.settings.clone())?;
+        self.bounds.send_replace(bounds);
+        self.news.notify_one();
+        Ok(())
+    }
+
     /// Has the core told at its next turn, together with all else of this moment.
     pub fn post(&self, input: Input) {
         self.inputs.borrow_mut().push(input);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 
 use crate::bounds::Bounds;
 use crate::hub::{Hub, Phase};
+use crate::watch::Source;
 
 #[derive(Debug, thiserror::Error)]
 pub enum NodeError {
@@ -61,7 +62,7 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
-    let config = read(&file)?;
+    let mut config = read(&file)?;
     let clock = Clock::start();
     let core = Core::start(&config, clock.now()).map_err(NodeError::Settings)?;
     let bounds = Bounds::of(&config).map_err(NodeError::Settings)?;
@@ -69,42 +70,57 @@
     let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
     let address = listener.local_addr().map_err(listen)?;
     let hub = Rc::new(Hub::new(core, clock, bounds));
-    let (to_watch, discovery) = watched::channel(config.discovery);
-    let asked = config.settings.get("discovery").is_some_and(|word| word == "asked");
+    let (to_watch, source) = watched::channel(Source::of(&config));
     let dial = TcpStream::connect::<SocketAddr>;
-    let followed = watch::follow(dial, hub.clone(), discovery, config.known.version, config.seed, asked);
+    let followed = watch::follow(dial, hub.clone(), source, config.known.version, config.seed);
     tokio::task::spawn_local(followed);
     tokio::task::spawn_local(store::tidy(hub.clone()));
     tokio::task::spawn_local(report_counters(hub.clone()));
     tokio::task::spawn_local(listener::accept(hub.clone(), listener));
     tracing::info!(name = config.name, listen = %address, discovery = %config.discovery, "serving");
     listening(address);
-    let mut settings = config.settings;
     let mut turns = tokio::task::spawn_local(hub::run(hub.clone()));
     let told_to_end = Notify::new();
     let mut stopped = std::pin::pin!(stop(&hub, &told_to_end));
     loop {
         tokio::select! {
+            // What has come together is taken in this order: a drain goes by the configuration before it.
+            biased;
             ended = &mut turns => return ended.unwrap_or_else(|e| Err(e.to_string())).map_err(NodeError::Fatal),
             () = &mut stopped => return Ok(()),
+            _ = hangup.recv() => {
+                if let Err(error) = reconfigure(&file, &mut config, &hub, &to_watch) {
+                    // Hazard: a half-written or wrong file must not end a gateway that serves.
+                    tracing::error!(%error, "configuration not read again, the former holds");
+                }
+            }
             _ = terminate.recv() => told_to_end.notify_one(),
             _ = interrupt.recv() => told_to_end.notify_one(),
-            _ = hangup.recv() => match read(&file) {
-                Ok(new) => {
-                    tracing::info!(discovery = %new.discovery, counters = %hub.counters, "configuration read again");
-                    to_watch.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
-                    if settings != new.settings {
-                        settings = new.settings.clone();
-                        hub.post(Input::Changed(new.settings));
-                    }
-                }
-                // Danger: a half-written or wrong file must not end a gateway that serves.
-                Err(error) => tracing::error!(%error, "configuration not read again, the former holds"),
-            },
         }
     }
 }
 
+/// Reads the configuration again and puts it in force as a whole, or not at all.
+fn reconfigure(
+    file: &Path,
+    config: &mut Config,
+    hub: &Hub,
+    to_watch: &watched::Sender<Source>,
+) -> Result<(), NodeError> {
+    let new = read(file)?;
+    if (new.listen, &new.name, new.seed) != (config.listen, &config.name, config.seed) {
+        tracing::warn!(listen = %new.listen, name = new.name, "listen, name and seed need a restart");
+    }
+    if (&new.settings, new.limits) != (&config.settings, config.limits) {
+        hub.reconfigure(&new).map_err(NodeError::Settings)?;
+    }
+    let source = Source::of(&new);
+    to_watch.send_if_modified(|held| std::mem::replace(held, source) != source);
+    tracing::info!(discovery = %new.discovery, counters = %hub.counters, "configuration read again");
+    *config = new;
+    Ok(())
+}
+
 /// How often the counts by reason are told, where they have changed.
 const COUNTERS_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -127,7 +143,7 @@
 async fn stop(hub: &Hub, told: &Notify) {
     told.notified().await;
     let Timeouts { accept_until, retry_until, drain_deadline, response_write, drain_close, .. } =
-        hub.bounds.timeouts;
+        hub.bounds().timeouts;
     let at = |span| hub.clock.instant(hub.clock.now() + span).into();
     let (closing, end): (Instant, Instant) = (at(accept_until), at(drain_deadline));
     tracing::info!(open = hub.open(), clients = hub.clients.len(), counters = %hub.counters, "stopping");
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -32,12 +32,12 @@
             Err(error) => {
                 tracing::warn!(%error, "no client accepted");
                 if !hub.clients.make_room().await {
-                    sleep(hub.bounds.timeouts.connect).await;
+                    sleep(hub.bounds().timeouts.connect).await;
                 }
                 continue;
             }
         };
-        let reject = !hub.clients.room(&hub.bounds).await;
+        let reject = !hub.clients.room(&hub.bounds()).await;
         _ = stream.set_nodelay(true);
         let client = Client::new(hub.clone(), id, stream, reject);
         tokio::task::spawn_local(client.serve());
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use umbertray_http::client::{self, Answers};
@@ -41,7 +41,7 @@
 
 /// All connections to stores, in use and idle.
 pub struct Pools {
-    bounds: Bounds,
+    bounds: Rc<watch::Sender<Bounds>>,
     counters: Rc<Counters>,
     /// By where they lead: a store may move, and its connections do not.
     pools: RefCell<HashMap<SocketAddr, Pool>>,
@@ -64,10 +64,14 @@
 }
 
 impl Pools {
-    pub fn new(bounds: Bounds, counters: Rc<Counters>) -> Pools {
+    pub fn new(bounds: Rc<watch::Sender<Bounds>>, counters: Rc<Counters>) -> Pools {
         Pools { bounds, counters, pools: RefCell::default(), open: Cell::new(0), room: Notify::new() }
     }
 
+    fn bounds(&self) -> Bounds {
+        *self.bounds.borrow()
+    }
+
     fn closed(&self, address: SocketAddr, connections: usize) {
         if connections == 0 {
             return;
@@ -92,13 +96,13 @@
                 .pools
                 .borrow_mut()
                 .get_mut(&address)
-                .and_then(|pool| pool.rested(self.bounds.timeouts.reuse_delay));
+                .and_then(|pool| pool.rested(self.bounds().timeouts.reuse_delay));
             let Some((stream, since)) = rested else { break None };
-            if silent(&stream) && since.elapsed() < self.bounds.timeouts.store_idle {
+            if silent(&stream) && since.elapsed() < self.bounds().timeouts.store_idle {
                 break Some(stream);
             }
             let idle_for = since.elapsed();
-            let over = idle_for >= self.bounds.timeouts.store_idle;
+            let over = idle_for >= self.bounds().timeouts.store_idle;
             self.closed_idle(
                 address,
                 if over { StoreCloseReason::IdleTimeout } else { StoreCloseReason::Spoilt },
@@ -114,14 +118,14 @@
     async fn rest(&self, address: SocketAddr) {
         let oldest = self.pools.borrow().get(&address).and_then(|pool| Some(pool.idle.first()?.1));
         match oldest {
-            Some(since) => sleep_until((since + self.bounds.timeouts.reuse_delay).into()).await,
+            Some(since) => sleep_until((since + self.bounds().timeouts.reuse_delay).into()).await,
             None => pending().await,
         }
     }
 
     /// Room for a new connection, at the cost of one that stands idle at another store if need be.
     fn slot(&self, address: SocketAddr) -> Option<Link<'_>> {
-        if self.open.get() >= self.bounds.stores {
+        if self.open.get() >= self.bounds().stores {
             let longest = {
                 let pools = self.pools.borrow();
                 let firsts = pools.iter().filter_map(|(at, pool)| Some((pool.idle.first()?.1, *at)));
@@ -136,7 +140,7 @@
         }
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(address).or_default();
-        if pool.open >= self.bounds.one_store {
+        if pool.open >= self.bounds().one_store {
             return None;
         }
         pool.open += 1;
@@ -173,7 +177,7 @@
         for address in addresses {
             let closed = self.pools.borrow_mut().get_mut(&address).map_or(0, |pool| {
                 let before = pool.idle.len();
-                let fresh = |since: &Instant| since.elapsed() < self.bounds.timeouts.store_idle;
+                let fresh = |since: &Instant| since.elapsed() < self.bounds().timeouts.store_idle;
                 pool.idle.retain(|(stream, since)| {
                     let reason = match (fresh(since), silent(stream)) {
                         (true, true) => return true,
@@ -203,7 +207,7 @@
             }
             if let Some(mut link) = self.slot(address) {
                 let stream =
-                    timeout(self.bounds.timeouts.connect, TcpStream::connect(address)).await.ok()?.ok()?;
+                    timeout(self.bounds().timeouts.connect, TcpStream::connect(address)).await.ok()?.ok()?;
                 _ = stream.set_nodelay(true);
                 link.stream = Some(stream);
                 yield_now().await;
@@ -291,11 +295,11 @@
 }
 
 async fn answer(hub: &Rc<Hub>, mut link: Link<'_>) -> (Returned, Duration) {
-    let mut answers = Answers::new(hub.bounds.answer);
+    let mut answers = Answers::new(hub.bounds().answer);
     let mut room = Room::new(hub);
     let Some(stream) = &mut link.stream else { return (Returned::NeverWritten, hub.clock.now()) };
     loop {
-        answers.bytes.reserve(hub.bounds.http.head);
+        answers.bytes.reserve(hub.bounds().http.head);
         let read = stream.read_buf(&mut answers.bytes).await;
         let at = hub.clock.now();
         let (read, ended) = match read {
@@ -350,7 +354,7 @@
 
 impl Room {
     fn new(hub: &Rc<Hub>) -> Room {
-        Room { held: hub.held.clone(), most: hub.bounds.answers, taken: 0 }
+        Room { held: hub.held.clone(), most: hub.bounds().answers, taken: 0 }
     }
 
     /// There is room for so many bytes. Those that any answer may have need none.
@@ -390,7 +394,7 @@
 /// Asks a store for its load.
 pub async fn probe(hub: &Rc<Hub>, address: SocketAddr) -> Returned {
     let written = Cell::new(false);
-    let asked = timeout(hub.bounds.timeouts.connect, async {
+    let asked = timeout(hub.bounds().timeouts.connect, async {
         let mut link = hub.pools.link(address).await?;
         let bytes = client::request("GET", words::STATS, &address.to_string(), &[], b"");
         write(&mut link, &bytes, &written).await?;
@@ -403,10 +407,15 @@
     }
 }
 
-/// Looks after what stands idle, for as long as the gateway runs.
+/// Looks after idle connections, for as long as the gateway runs: at an interval, and when the bounds change.
 pub async fn tidy(hub: Rc<Hub>) {
+    let mut changes = hub.bounds_changes();
     loop {
-        sleep(hub.bounds.timeouts.store_sweep).await;
+        let sweep = sleep(hub.bounds().timeouts.store_sweep);
+        tokio::select! {
+            () = sweep => {}
+            _ = changes.changed() => {}
+        }
         hub.pools.tidy();
     }
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -14,9 +14,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use umbertray_http::client::{self, Answers};
 use umbertray_http::{Limits, Malformed};
-use umbertray_platform::Input;
 use umbertray_platform::list::{Line, Lines, List, Unreadable};
 use umbertray_platform::words;
+use umbertray_platform::{Config, Input};
 
 use crate::hub::Hub;
 use crate::patience::{self, Failed, Failures};
@@ -80,6 +80,21 @@
     run: Pin<Box<dyn Future<Output = Broken> + 'a>>,
 }
 
+/// Where the list of stores is had from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Source {
+    pub address: SocketAddr,
+    /// Each watch has to be asked for by the module; else changes are pushed.
+    pub asked: bool,
+}
+
+impl Source {
+    pub fn of(config: &Config) -> Source {
+        let asked = config.settings.get("discovery").is_some_and(|word| word == "asked");
+        Source { address: config.discovery, asked }
+    }
+}
+
 /// How far an attempt has come.
 struct Stage {
     /// When its next answer has to be whole; once its watch is open, the watch itself sees to that.
@@ -102,14 +117,13 @@
 pub async fn follow<S: AsyncRead + AsyncWrite + Unpin>(
     dial: impl AsyncFn(SocketAddr) -> io::Result<S>,
     hub: Rc<Hub>,
-    mut address: watch::Receiver<SocketAddr>,
+    mut source: watch::Receiver<Source>,
     known: u64,
     seed: u64,
-    asked: bool,
 ) {
     let own = Watch::new(hub.clone());
     tracing::debug!(known, "following the list");
-    let (mut rows, mut draws, mut wanted) = (Rows::default(), 0u64, !asked);
+    let (mut rows, mut draws, mut wanted) = (Rows::default(), 0u64, !source.borrow().asked);
     let (mut next, mut slow) = (None, None);
     loop {
         // Danger: the module that has asked does not ask again where the watch only moves, or begins with the whole list.
@@ -117,15 +131,15 @@
             tokio::select! {
                 asked = beside(&mut slow, hub.subscribe.notified()) => if asked.is_none() { next = slow.take() },
                 // Danger: what is told at the new address counts soon, however long the module waits for the old one.
-                _ = address.changed() => (rows, slow) = (Rows::default(), None),
+                _ = source.changed() => (rows, slow) = (Rows::default(), None),
             }
         }
-        let at = *address.borrow_and_update();
+        let Source { address: at, asked } = *source.borrow_and_update();
         let begun = Instant::now();
         let attempt = next.take().unwrap_or_else(|| own.attempt(&dial, at, rows.failed));
         let broken = tokio::select! {
             broken = until_broken(attempt, &mut slow) => broken,
-            changed = address.changed() => match changed {
+            changed = source.changed() => match changed {
                 Ok(()) => {
                     // Danger: what the old address had last is heard from the new one, as if it were new.
                     hub.post(Input::ListFailed);
@@ -153,7 +167,7 @@
         let wait = longest.mul_f64(0.5 + chance(seed, draws) / 2.0);
         tokio::select! {
             waited = beside(&mut slow, sleep(wait)) => if waited.is_none() { next = slow.take() },
-            _ = address.changed() => (wanted, rows, slow) = (true, Rows::default(), None),
+            _ = source.changed() => (wanted, rows, slow) = (true, Rows::default(), None),
         }
     }
 }
@@ -323,7 +337,7 @@
         stage: &Stage,
     ) -> Result<(), Broken> {
         ask(stream, words::STORES, host, due).await?;
-        let mut answers = Answers::new(Limits { body: self.hub.bounds.list, ..self.hub.bounds.http });
+        let mut answers = Answers::new(Limits { body: self.hub.bounds().list, ..self.hub.bounds().http });
         let answer = loop {
             if let Some(answer) = answers.answer()? {
                 break answer;
@@ -344,8 +358,8 @@
         stage: &Stage,
     ) -> Result<(), Broken> {
         ask(stream, &words::watch(self.held.get().unwrap_or_default()), host, due).await?;
-        let mut answers = Answers::new(Limits { body: usize::MAX, ..self.hub.bounds.http });
-        let (mut lines, mut opened) = (Lines::new(self.hub.bounds.list), false);
+        let mut answers = Answers::new(Limits { body: usize::MAX, ..self.hub.bounds().http });
+        let (mut lines, mut opened) = (Lines::new(self.hub.bounds().list), false);
         loop {
             if let Some(head) = answers.head()?
                 && head.status != 200
--- a/crates/node/src/watch/tests.rs
+++ b/crates/node/src/watch/tests.rs
@@ -90,7 +90,7 @@
     /// When the first watch fell silent.
     silent: Rc<Cell<Option<Instant>>>,
     following: JoinHandle<()>,
-    address: watch::Sender<SocketAddr>,
+    source: watch::Sender<Source>,
 }
 
 impl World {
@@ -126,10 +126,11 @@
             spawn_local(attend(theirs, act, since.clone()));
             Ok(ours)
         };
-        let (sender, address) = watch::channel(ADDRESS.parse().expect("an address"));
         let asked = !matches!(told, Told::Pushed);
-        let following = spawn_local(follow(dial, hub.clone(), address, 0, 1, asked));
-        World { hub, dials, acts, silent, following, address: sender }
+        let source = Source { address: ADDRESS.parse().expect("an address"), asked };
+        let (sender, source) = watch::channel(source);
+        let following = spawn_local(follow(dial, hub.clone(), source, 0, 1));
+        World { hub, dials, acts, silent, following, source: sender }
     }
 
     fn dialed(&self) -> usize {
@@ -148,7 +149,8 @@
     /// Discovery is at another address from now on.
     fn moves(&self, acts: &[Act]) {
         *self.acts.borrow_mut() = VecDeque::from(acts.to_vec());
-        self.address.send_replace(NEXT_ADDRESS.parse().expect("an address"));
+        let address = NEXT_ADDRESS.parse().expect("an address");
+        self.source.send_modify(|source| source.address = address);
     }
 
     async fn list(&self, version: u64) {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -392,29 +392,31 @@
                 self.unheard = true;
                 self.events.push(Event::List(ListNews::Failed));
             }
-            Input::Changed(settings) => self.changed(settings),
+            Input::Changed(settings) => {
+                if let Err(why) = self.reconfigure(settings) {
+                    self.deeds.push(Deed::Log(format!("settings not taken: {why}")));
+                }
+            }
             Input::Ends(at) => self.events.push(Event::Ends { at }),
             Input::Woken => {}
         }
     }
 
-    /// Settings that the module cannot act on are not taken; what is open goes on under its numbers.
-    fn changed(&mut self, settings: Settings) {
+    /// Puts new settings in force, from the next turn on; an error, and no change, where the module cannot act on them.
+    /// What is open goes on under its numbers.
+    pub fn reconfigure(&mut self, settings: Settings) -> Result<(), String> {
         // Danger: only what has been read once is sorted, or a count of nothing would be walked through.
         let in_places = |_| {
             let placed = places::in_places(&self.settings, &settings);
             names(&placed).map(|names| (names, placed))
         };
-        match names(&settings).and_then(in_places) {
-            Ok((names, settings)) => {
-                self.names = names;
-                self.settings = settings.clone();
-                self.grace = grace(&settings);
-                self.fields = words_of(settings.get("telemetry.fields"));
-                self.events.push(Event::Changed { settings });
-            }
-            Err(why) => self.deeds.push(Deed::Log(format!("settings not taken: {why}"))),
-        }
+        let (names, settings) = names(&settings).and_then(in_places)?;
+        self.names = names;
+        self.settings = settings.clone();
+        self.grace = grace(&settings);
+        self.fields = words_of(settings.get("telemetry.fields"));
+        self.events.push(Event::Changed { settings });
+        Ok(())
     }
 
     fn asked(&mut self, client: ClientId, ask: Ask, begun: Duration) {
