--- a/crates/cli/tests/sockets/changes.rs
+++ b/crates/cli/tests/sockets/changes.rs
@@ -10,6 +10,7 @@
 use umbertray_rehearsal::run::Gateway;
 use umbertray_standin::client::Connection;
 use umbertray_standin::fleet::Fleet;
+use umbertray_standin::model::Fault;
 
 use crate::common::*;
 
@@ -307,3 +308,23 @@
     assert_eq!(limits.count(), 4, "the first, and three others");
     mostly_acked(&verdict);
 }
+
+/// The drain of a gateway went by the op timeouts that it began with: what was open was closed without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_goes_by_the_op_timeouts_in_force() {
+    let ((folder, changes), fleet) = (begun("drain"), fleet(1).await);
+    let mut gateway = follows(&fleet, &folder, &changes, 1).await.expect("it starts");
+    apply(&["--set", "op_type/put:op_timeout=5"], &changes);
+    acts_on(&folder, 1, 2).await;
+    let client = Connection::open(gateway.address, "vol", true).await.expect("a session opens");
+    acked(&patiently(async || client.write(0, marked(1, 0, 1)).await).await);
+    fleet.ids().into_iter().for_each(|id| fleet.fault(id, Fault { lost: 1.0, ..Fault::default() }));
+    let (asked, ended) = tokio::join!(client.write(0, marked(2, 0, 1)), async {
+        // The write is on its way before the signal: it is the only thing this client sends.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        gateway.signal(nix::sys::signal::Signal::SIGTERM).expect("it runs");
+    });
+    drop(ended);
+    assert!(asked.is_some(), "closed without an answer");
+    gateway.kill().await.ok();
+}
--- a/crates/cli/tests/sockets/sessions.rs
+++ b/crates/cli/tests/sockets/sessions.rs
@@ -248,3 +248,28 @@
     acked(&patiently(async || other.write(0, marked(98, 0, 16)).await).await);
     assert_eq!((good.strays(), other.strays()), (vec![], vec![]));
 }
+
+/// With long op timeouts a client that stopped within a negotiation or a request was waited for as long.
+#[tokio::test(flavor = "multi_thread")]
+async fn sessions_that_stop_within_a_message_end_within_the_limit_whatever_the_timeouts() {
+    /// The standing page: bad clients are owed their error or close within so long.
+    const BAD_CLIENT_LIMIT: Duration = Duration::from_secs(3);
+    let fleet = fleet(1).await;
+    let patient = r#"op_type("slow", target_latency = 2.0, op_timeout = 20.0, utility = 2)"#;
+    let gateway = gateway(&fleet, 1, &document(patient)).await;
+    let write = request(Command::Write, 7, 0, 4096, marked(6, 0, 1));
+    let mut stopped = vec![("no word", TcpStream::connect(gateway.addresses[0]).await.expect("it listens"))];
+    for (name, length) in [("half a header", 10), ("a header", 28), ("half a payload", 2000)] {
+        let (mut stream, ..) = by_hand(&gateway).await;
+        stream.write_all(&write[..length]).await.expect("it reads");
+        stopped.push((name, stream));
+    }
+    let ends = stopped.into_iter().map(|(name, mut stream)| async move {
+        let mut rest = Vec::new();
+        let end = tokio::time::timeout(BAD_CLIENT_LIMIT, stream.read_to_end(&mut rest)).await;
+        (name, end.is_ok())
+    });
+    let ended: tokio::task::JoinSet<_> = ends.collect();
+    let late: Vec<_> = ended.join_all().await.into_iter().filter(|(_, ended)| !ended).collect();
+    assert!(late.is_empty(), "not closed within {BAD_CLIENT_LIMIT:?}: {late:?}");
+}
