--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -44,6 +44,8 @@
     core: Box<dyn Host>,
     clock: Clock,
     settings: Arc<Settings>,
+    /// The longest op timeout that was in force since the start: what is open may have it.
+    longest_timeout: Duration,
     run: u64,
     to_hub: mpsc::UnboundedSender<ToHub>,
     to_list: mpsc::UnboundedSender<ToList>,
@@ -84,6 +86,7 @@
         Hub {
             core,
             clock,
+            longest_timeout: settings.longest_timeout(),
             settings,
             run,
             to_hub,
@@ -105,13 +108,12 @@
         Hub { keeper, recalled, ..self }
     }
 
-    /// Runs until told to stop and all is answered, at most `grace` after that.
+    /// Runs until told to stop and all is answered, at most the longest op timeout after that.
     pub async fn run(
         mut self,
         mut from_all: mpsc::UnboundedReceiver<ToHub>,
         mut changed: mpsc::Receiver<Input>,
         mut stopping: watch::Receiver<bool>,
-        grace: Duration,
     ) -> Result<(), String> {
         let mut messages = Vec::with_capacity(TURN);
         let mut end_at = None;
@@ -125,11 +127,16 @@
             tokio::select! {
                 biased;
                 _ = stopping.wait_for(|stop| *stop), if end_at.is_none() => {
-                    end_at = Some(self.clock.now() + grace);
+                    end_at = Some(self.clock.now() + self.longest_timeout);
                     tracing::info!(open = self.core.open(), sessions = self.sessions.len(), "stopping");
                 }
                 // One part of a change a turn: however long it is, what flows goes on between them.
-                Some(change) = changed.recv() => self.turn(vec![change])?,
+                Some(change) = changed.recv() => {
+                    if let Input::Changed { settings, .. } = &change {
+                        self.longest_timeout = self.longest_timeout.max(settings.longest_timeout());
+                    }
+                    self.turn(vec![change])?;
+                }
                 _ = from_all.recv_many(&mut messages, TURN) => {
                     let inputs = messages.drain(..).filter_map(|message| self.heard(message)).collect();
                     self.turn(inputs)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -115,7 +115,6 @@
     let (stop, stopping) = watch::channel(false);
     // A run's number is never used again, or a store would take its dispatches for those of the run before.
     let run = clock.now().as_nanos() as u64 ^ options.seed.rotate_left(32);
-    let longest = settings.op_types.iter().map(|op_type| op_type.op_timeout).max().unwrap_or_default();
     let (to_changes, changed) = mpsc::channel(1);
     let keeping =
         options.state.and_then(|folder| keeper::open(&folder, options.seed, &settings, to_hub.clone()));
@@ -141,7 +140,6 @@
         clock,
         to_hub,
         stopping: stopping.clone(),
-        patience: longest,
     });
     let places = Arc::new(Semaphore::new(settings.bounds.sessions));
     for address in options.listen {
@@ -150,7 +148,7 @@
         accepting.push(tokio::spawn(accept(listener, shared.clone(), places.clone())));
     }
     drop(shared);
-    let hub = tokio::spawn(hub.run(from_all, changed, stopping, longest));
+    let hub = tokio::spawn(hub.run(from_all, changed, stopping));
     Ok(Running { addresses, stop, hub, present, acted, accepting, following })
 }
 
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -13,6 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
+use umbertray_lifecycle::timeouts;
 use umbertray_nbd::proto::*;
 use umbertray_nbd::{BlockSizes, Export, Exports, Limits, Session, Step};
 use umbertray_routing::{Hold, Input, Request, RequestId, SessionId, Settings};
@@ -44,8 +45,13 @@
     pub clock: Clock,
     pub to_hub: mpsc::UnboundedSender<ToHub>,
     pub stopping: watch::Receiver<bool>,
-    /// How long a negotiation or half a request may take.
-    pub patience: Duration,
+}
+
+impl Shared {
+    /// How long a negotiation or half a request may take, by the settings in force.
+    fn half_message_timeout(&self) -> Duration {
+        timeouts::half_message(self.present.load().longest_timeout())
+    }
 }
 
 /// The volumes there are, as clients see them.
@@ -168,7 +174,7 @@
             // A peer that sends half a request, or negotiates for ever, is not waited for.
             let half =
                 self.volume.is_none() || !self.input.is_empty() || matches!(self.door, Door::Granted(_));
-            let deadline = self.shared.clock.instant(self.begun + self.shared.patience);
+            let deadline = self.shared.clock.instant(self.begun + self.shared.half_message_timeout());
             tokio::select! {
                 ready = self.stream.readable(), if may_read => {
                     ready?;
--- a/crates/lifecycle/src/timeouts.rs
+++ b/crates/lifecycle/src/timeouts.rs
@@ -11,6 +11,11 @@
 /// The most that a wait may take whose end a bad client is owed.
 pub const BAD_CLIENT_WAIT: Duration = BAD_CLIENT_LIMIT.saturating_sub(HOLD_UP).saturating_sub(HOLD_UP);
 
+/// How long half a message is waited for, where this much of the longest deadline is the wish.
+pub fn half_message(wish: Duration) -> Duration {
+    wish.min(BAD_CLIENT_WAIT)
+}
+
 /// Against the longest deadline: the time for a request to come whole, for a response to be read, and for a new
 /// connection to begin its first request.
 const REQUEST_READ: f64 = 1.0 / 3.0;
@@ -80,7 +85,7 @@
     /// The waits under these settings.
     pub fn of(times: &SettingsTimes) -> Timeouts {
         let request_read = times.longest_deadline.mul_f64(REQUEST_READ);
-        let bounded = |wait: Duration| wait.min(BAD_CLIENT_WAIT);
+        let bounded = half_message;
         let objective = |ratio: f64| times.shortest_objective.mul_f64(ratio);
         let idle = times.connection_idle.mul_f64(IDLE);
         let kill_after = times.longest_deadline.min(KILL_AFTER_AT_MOST);
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -160,6 +160,11 @@
         self.type_rules.iter().find(fits).map_or(self.op_types.len() - 1, |rule| rule.op_type)
     }
 
+    /// The longest op timeout of all op types.
+    pub fn longest_timeout(&self) -> Duration {
+        self.op_types.iter().map(|op_type| op_type.op_timeout).max().unwrap_or_default()
+    }
+
     pub fn units(&self, length: u32) -> f64 {
         f64::from(length.div_ceil(self.unit_bytes).clamp(1, self.most_units))
     }
