Put lifecycle rules into one package, checked where their effect happens

crates/lifecycle decides without I/O: may an attempt begin, a store still be sent to, a connection close, be evicted or used again, the process exit; and how long each wait is.

The new test fails with the whole grace.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -4,6 +4,7 @@
 //! A connection has one way to its end: its sending is shut, what still comes is passed over for a bounded time, then it
 //! is closed. Danger: a close over unread bytes resets the connection and can take an answer with it.
 
+pub use umbertray_lifecycle::connection::Obligation;
 use umbertray_lifecycle::reason::CloseReason;
 
 /// Who demands that a connection closes; a greater demand holds over a smaller one.
@@ -42,13 +43,17 @@
     Closed,
 }
 
-/// What is owed on a connection, so that its process does not end over it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Obligation {
-    None,
-    Response,
-    /// Time to read what was written.
-    LingeringClose,
+impl State {
+    /// What is owed on a connection in this state.
+    pub fn obligation(self) -> Obligation {
+        match self {
+            State::AwaitingResponse { .. } | State::WritingResponse { .. } => Obligation::Response,
+            State::LingeringClose => Obligation::LingeringClose,
+            State::AwaitingFirstRequest | State::Idle | State::ReadingRequest { .. } | State::Closed => {
+                Obligation::None
+            }
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -164,16 +169,10 @@
     }
 
     pub fn obligation(&self) -> Obligation {
-        match self.state {
-            State::AwaitingResponse { .. } | State::WritingResponse { .. } => Obligation::Response,
-            State::LingeringClose => Obligation::LingeringClose,
-            State::AwaitingFirstRequest | State::Idle | State::ReadingRequest { .. } | State::Closed => {
-                Obligation::None
-            }
-        }
+        self.state.obligation()
     }
 
-    /// What is wanted from now on; [`Event::DemandChanged`] follows where somebody waits for it.
+    /// What is demanded from now on; [`Event::DemandChanged`] follows where somebody waits for it.
     pub fn raise_demand(&mut self, demand: CloseDemand) {
         self.demand = self.demand.max(demand);
     }
--- a/crates/lifecycle/src/attempt.rs
+++ b/crates/lifecycle/src/attempt.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::Decision;
-use crate::reason::DenialReason;
+use crate::limits::{HOLD_UP, TIME_LEFT_SLACK};
+use crate::reason::{DenialReason, Violation};
 
 /// Where the request of an attempt stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,7 +35,7 @@
     pub gone: bool,
     /// When this gateway was notified that it drains.
     pub drains_since: Option<Duration>,
-    /// How long it may be sent to after that.
+    /// How long it may be sent to after that, by the settings.
     pub drain_grace: Duration,
 }
 
@@ -83,13 +84,28 @@
     if may { Ok(()) } else { Err(DenialReason::MayHaveRun) }
 }
 
+/// How much of the grace of a store that drains may be used. Hazard: the process may be held up between this decision
+/// and the first byte, and the grace has to cover that (standing page, "More than these days").
+pub fn usable_drain_grace(grace: Duration) -> Duration {
+    grace.saturating_sub(HOLD_UP)
+}
+
+/// Whether the time told to a store was still true when the request's last byte was written, so long after it was told.
+///
+/// Invariant: at most what the client has left, with the slack of the operators' terms.
+pub fn told_time_holds(written_after: Duration) -> Decision<Violation> {
+    if written_after <= TIME_LEFT_SLACK { Ok(()) } else { Err(Violation::TimeLeftOverstated) }
+}
+
 /// Whether a store may still be sent to.
 pub fn store_takes(store: &StoreStatus, now: Duration) -> Decision<DenialReason> {
     if store.gone {
         return Err(DenialReason::StoreGone);
     }
     match store.drains_since {
-        Some(since) if now >= since + store.drain_grace => Err(DenialReason::DrainGraceOver),
+        Some(since) if now >= since + usable_drain_grace(store.drain_grace) => {
+            Err(DenialReason::DrainGraceOver)
+        }
         _ => Ok(()),
     }
 }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -4,9 +4,13 @@
 //! [`Decision`]: allowed, or denied with a typed reason that the log lines and the [`Counters`] share.
 
 pub mod attempt;
+pub mod check;
+pub mod connection;
 pub mod counters;
 pub mod limits;
 pub mod reason;
+pub mod request;
+pub mod store_connection;
 pub mod timeouts;
 
 pub use counters::Counters;
--- a/crates/lifecycle/src/limits.rs
+++ b/crates/lifecycle/src/limits.rs
@@ -10,6 +10,13 @@
 /// A process may be held up for so long between reading its clock and writing. Standing page, "More than these days".
 pub const HOLD_UP: Duration = Duration::from_millis(150);
 
+/// The time that an attempt tells its store is at most what its client has left, and so much more. The operators' terms.
+pub const TIME_LEFT_SLACK: Duration = Duration::from_millis(150);
+
+/// Up to so long after its time a request's final answer only earns nothing; later it is lost. Standing page, "Hundreds
+/// of gateways".
+pub const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
 /// SIGKILL follows SIGTERM no sooner than the longest deadline, or this where that is longer, and [`KILL_MARGIN`].
 /// Protocol page, "Figures".
 pub const KILL_AFTER_AT_MOST: Duration = Duration::from_secs(3);
--- a/crates/lifecycle/src/reason.rs
+++ b/crates/lifecycle/src/reason.rs
@@ -13,6 +13,8 @@
     Denial,
     /// A connection to a store was closed.
     StoreClose,
+    /// A rule was not kept.
+    Violation,
 }
 
 impl Category {
@@ -24,6 +26,7 @@
             Category::Retry => "retry",
             Category::Denial => "denial",
             Category::StoreClose => "store_close",
+            Category::Violation => "violation",
         }
     }
 }
@@ -162,3 +165,20 @@
         AttemptEnded = "attempt_ended",
     }
 }
+
+reasons! {
+    /// A rule that was not kept where its effect happens. Those of time may come of a process that was held up; each other
+    /// is a fault of this program.
+    Violation in Violation {
+        /// A connection was closed by this side with a response owed.
+        ClosedOwingResponse = "closed_owing_response",
+        /// The process ended with a response owed.
+        ExitOwingResponse = "exit_owing_response",
+        /// A client that stopped within a request had no error and no close in time.
+        BadClientKeptWaiting = "bad_client_kept_waiting",
+        /// A request had its final answer later than its time and the slack.
+        AnsweredLate = "answered_late",
+        /// The time told to a store was more than what the client had left when the last byte was written.
+        TimeLeftOverstated = "time_left_overstated",
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/request.rs
@@ -0,0 +1,14 @@
+//! Requests: when a final answer is in time.
+
+use std::time::Duration;
+
+use crate::Decision;
+use crate::limits::ANSWER_SLACK;
+use crate::reason::Violation;
+
+/// Whether a final answer is in time that comes so long after the request's first byte, of the time that its client waits.
+///
+/// Invariant: a request gets one final answer in its client's time; up to [`ANSWER_SLACK`] later it only earns nothing.
+pub fn answered_in_time(took: Duration, left: Duration) -> Decision<Violation> {
+    if took <= left + ANSWER_SLACK { Ok(()) } else { Err(Violation::AnsweredLate) }
+}
--- /dev/null
+++ b/crates/lifecycle/tests/rules.rs
@@ -0,0 +1,105 @@
+//! Each rule by a table of what it allows and denies.
+
+use std::time::Duration;
+
+use umbertray_lifecycle::attempt::{self, AttemptStart, Repeats, RequestStatus, StoreStatus};
+use umbertray_lifecycle::connection::{self, Obligation, Peer};
+use umbertray_lifecycle::limits::HOLD_UP;
+use umbertray_lifecycle::reason::{CloseReason, DenialReason, StoreCloseReason, Violation};
+use umbertray_lifecycle::{Counters, check, store_connection};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const START: AttemptStart = AttemptStart {
+    now: ms(10_000),
+    until: ms(10_500),
+    request: RequestStatus::Open,
+    store: StoreStatus { gone: false, drains_since: None, drain_grace: ms(1000) },
+    repeats: Repeats::Never,
+    may_have_run_since: None,
+};
+
+fn drains(since: Duration) -> AttemptStart {
+    AttemptStart { store: StoreStatus { drains_since: Some(since), ..START.store }, ..START }
+}
+
+#[test]
+fn an_attempt_begins_only_while_it_is_wanted_and_harmless() {
+    let again = |repeats| AttemptStart { repeats, may_have_run_since: Some(ms(9_000)), ..START };
+    let cases = [
+        ("first", START, Ok(())),
+        ("ended", AttemptStart { request: RequestStatus::Ended, ..START }, Err(DenialReason::RequestEnded)),
+        (
+            "client gone",
+            AttemptStart { request: RequestStatus::ClientGone, ..START },
+            Err(DenialReason::ClientGone),
+        ),
+        ("its time over", AttemptStart { now: START.until, ..START }, Err(DenialReason::DeadlineOver)),
+        ("may have run", again(Repeats::Never), Err(DenialReason::MayHaveRun)),
+        ("recognised", again(Repeats::Within(ms(1001))), Ok(())),
+        ("forgotten", again(Repeats::Within(ms(1000))), Err(DenialReason::MayHaveRun)),
+        ("harmless again", again(Repeats::Always), Ok(())),
+        (
+            "store gone",
+            AttemptStart { store: StoreStatus { gone: true, ..START.store }, ..START },
+            Err(DenialReason::StoreGone),
+        ),
+        ("store drains", drains(ms(9_500)), Ok(())),
+    ];
+    for (name, start, expected) in cases {
+        assert_eq!(attempt::may_begin(&start), expected, "{name}");
+    }
+}
+
+/// A process that was held up between its decision and its first byte sent to stores past their grace.
+#[test]
+fn the_grace_of_a_draining_store_covers_a_hold_up() {
+    let grace = START.store.drain_grace;
+    for late in [HOLD_UP, HOLD_UP / 2, Duration::ZERO] {
+        let notified = START.now + late - grace;
+        assert_eq!(attempt::may_begin(&drains(notified)), Err(DenialReason::DrainGraceOver), "{late:?} left");
+    }
+    assert_eq!(attempt::may_begin(&drains(START.now + HOLD_UP + ms(1) - grace)), Ok(()));
+    assert_eq!(attempt::usable_drain_grace(HOLD_UP / 2), Duration::ZERO);
+}
+
+#[test]
+fn a_connection_closes_only_owing_nothing_to_a_client_that_is_there() {
+    for obligation in [Obligation::None, Obligation::Response, Obligation::LingeringClose] {
+        for peer in [Peer::Open, Peer::Closed, Peer::NotReading] {
+            let owes = obligation == Obligation::Response && peer == Peer::Open;
+            let expected = if owes { Err(Violation::ClosedOwingResponse) } else { Ok(()) };
+            assert_eq!(connection::may_close(obligation, peer), expected, "{obligation:?}, {peer:?}");
+        }
+        let may_exit = connection::may_exit([Obligation::None, obligation]);
+        assert_eq!(may_exit.is_err(), obligation == Obligation::Response);
+        assert_eq!(connection::may_evict(obligation, false), obligation != Obligation::Response);
+        assert!(!connection::may_evict(obligation, true));
+    }
+}
+
+#[test]
+fn an_idle_connection_to_a_store_is_used_again_only_fresh_and_silent() {
+    let reuse = |idle, readable| store_connection::may_reuse(ms(idle), ms(100), readable);
+    assert_eq!(reuse(99, false), Ok(()));
+    assert_eq!(reuse(99, true), Err(StoreCloseReason::Spoilt));
+    assert_eq!(reuse(100, false), Err(StoreCloseReason::IdleTimeout));
+}
+
+#[test]
+fn reasons_are_counted_by_category_and_name() {
+    let counters = Counters::default();
+    [CloseReason::IdleTimeout, CloseReason::IdleTimeout]
+        .into_iter()
+        .for_each(|reason| counters.count(reason));
+    counters.count(StoreCloseReason::IdleTimeout);
+    let mut logged = Vec::new();
+    check::observe(&counters, Err(Violation::AnsweredLate), |violation| logged.push(violation));
+    check::observe(&counters, Ok(()), |violation| logged.push(violation));
+    assert_eq!(logged, [Violation::AnsweredLate]);
+    assert_eq!(counters.of(CloseReason::IdleTimeout), 2);
+    let told = "close.idle_timeout=2 store_close.idle_timeout=1 violation.answered_late=1";
+    assert_eq!(counters.to_string(), told);
+}
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -14,9 +14,11 @@
 use umbertray_http::Malformed;
 use umbertray_http::connection::{CloseDemand, ConnectionState, Event, NextStep, Response, State};
 use umbertray_http::server::{self, Next, Request, Requests};
-use umbertray_lifecycle::Timeouts;
+use umbertray_lifecycle::check::{check, observe};
+use umbertray_lifecycle::connection::{self, Obligation, Peer};
 use umbertray_lifecycle::limits::HOLD_UP;
-use umbertray_lifecycle::reason::{CloseReason, RefusalReason};
+use umbertray_lifecycle::reason::{CloseReason, RefusalReason, Violation};
+use umbertray_lifecycle::{Decision, Timeouts, request};
 use umbertray_platform::{ClientId, Refused, Reply, words};
 
 use crate::hub::Hub;
@@ -40,6 +42,8 @@
     hub: Rc<Hub>,
     /// As its client named it.
     id: Box<str>,
+    /// How long its client waits, from the request's first byte.
+    left: Duration,
     client: ClientId,
     answer: oneshot::Receiver<Reply>,
 }
@@ -75,9 +79,14 @@
     own: Own,
     /// When the first byte of the request that is next, or now open, was read.
     begun: Duration,
-    /// When the state it is in began, and when the time for it is over.
+    /// When the state it is in began, when the last part of a request began to be waited for, and when the time for the
+    /// state is over.
     entered: Instant,
+    entered_reading: Instant,
     until: Instant,
+    /// What was owed before the last step, and what the client did at it.
+    owed_before: Obligation,
+    peer: Peer,
     /// Why the connection comes to its end, once it does.
     closing: Option<CloseReason>,
 }
@@ -110,7 +119,10 @@
             own,
             begun,
             entered,
+            entered_reading: entered,
             until,
+            owed_before: Obligation::None,
+            peer: Peer::Open,
             closing: None,
         }
     }
@@ -138,9 +150,18 @@
         self.state.raise_demand(self.demand());
         let before = self.state.state();
         let step = self.state.on(event);
+        self.owed_before = before.obligation();
+        self.peer = match event {
+            Event::PeerClosed => Peer::Closed,
+            Event::WriteFailed => Peer::NotReading,
+            _ => Peer::Open,
+        };
         let (state, bounds, now) = (self.state.state(), self.hub.bounds(), Instant::now());
         if state != before {
             self.entered = now;
+            if matches!(state, State::ReadingRequest { .. }) {
+                self.entered_reading = now;
+            }
             match state {
                 State::Idle => self.until = now + bounds.timeouts.client_idle,
                 State::ReadingRequest { served_before: true } => self.until = self.request_read_until(now),
@@ -182,12 +203,26 @@
         }
     }
 
+    /// Counts and tells why the connection closes, and checks that it may.
     fn closed(&self) {
         let reason = self.closing.unwrap_or(CloseReason::PeerClosed);
+        self.check(connection::may_close(self.owed_before, self.peer));
         self.hub.counters.count(reason);
         tracing::debug!(connection = self.id, %reason, "connection closed");
     }
 
+    fn check(&self, decision: Decision<Violation>) {
+        check(&self.hub.counters, decision, |violation| {
+            tracing::error!(connection = self.id, %violation, "lifecycle rule violated");
+        });
+    }
+
+    fn observe(&self, id: &str, decision: Decision<Violation>) {
+        observe(&self.hub.counters, decision, |violation| {
+            tracing::warn!(connection = self.id, id, %violation, "lifecycle rule violated");
+        });
+    }
+
     fn refusal(&self, refused: &Refused, reason: RefusalReason) -> Bytes {
         self.hub.counters.count(reason);
         let Refused { status, what } = refused;
@@ -288,6 +323,7 @@
         // Hazard: without a word from the core it may have run.
         let reply = reply.unwrap_or(Reply::Aborted);
         tracing::debug!(connection = self.id, id = %op.id, client = ?op.client, ?took, %reply, "answered");
+        self.observe(&op.id, request::answered_in_time(took, op.left));
         self.own = Own::Reply(reply);
         self.answered()
     }
@@ -319,7 +355,7 @@
         let (id, target, shard, left) = (ask.id.clone(), &request.target, ask.shard, ask.left);
         let (client, answer) = self.hub.ask(ask, self.begun);
         tracing::debug!(connection = self.id, id, ?client, %target, shard, ?left, phase = ?self.hub.phase(), "taken");
-        self.op = Some(Op { hub: self.hub.clone(), id, client, answer });
+        self.op = Some(Op { hub: self.hub.clone(), id, left, client, answer });
         None
     }
 
@@ -365,6 +401,7 @@
                 rendered(&Reply::Throttled { retry_after: self.hub.bounds().retry_after }, last)
             }
             (Response::RequestTimeout, _) => {
+                self.observe("", connection::may_have_waited(self.entered_reading.elapsed()));
                 let what = "the request did not come whole in its time".into();
                 self.refusal(&Refused { status: 408, what }, RefusalReason::RequestReadTimeout)
             }
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 use umbertray_http::connection::{CloseDemand, ConnectionState, Obligation, State};
+use umbertray_lifecycle::connection;
 
 use crate::bounds::Bounds;
 
@@ -26,7 +27,7 @@
     /// The order of eviction, least first: connections without a request yet, then the least recently used, whether
     /// idle or shut down. Nothing for one that may not be evicted.
     fn eviction_order(&self) -> Option<(bool, Instant)> {
-        (self.obligation != Obligation::Response && self.demand < CloseDemand::ForCapacity)
+        connection::may_evict(self.obligation, self.demand == CloseDemand::ForCapacity)
             .then_some((self.served_before || self.obligation == Obligation::LingeringClose, self.since))
     }
 }
@@ -85,6 +86,11 @@
         self.changed.notify_waiters();
     }
 
+    /// What is owed on each.
+    pub fn obligations(&self) -> Vec<Obligation> {
+        self.open.borrow().values().map(|connection| connection.obligation).collect()
+    }
+
     pub async fn empty(&self) {
         self.until(|open| open.is_empty()).await;
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,7 +25,7 @@
 use tokio::sync::{Notify, watch as watched};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use umbertray_clock::Clock;
-use umbertray_lifecycle::Timeouts;
+use umbertray_lifecycle::{Timeouts, connection};
 use umbertray_platform::config::ConfigError;
 use umbertray_platform::{Config, Core, Input};
 
@@ -161,6 +161,11 @@
     // Danger: bytes that lie unread when the process ends reset their connections, and answers go with them.
     let parted = timeout(drain_close, hub.clients.empty()).await.is_ok();
     let clients = hub.clients.len();
+    let may_exit = connection::may_exit(hub.clients.obligations());
+    if let Err(violation) = may_exit {
+        hub.counters.count(violation);
+        tracing::error!(%violation, clients, "lifecycle rule violated");
+    }
     tracing::info!(counters = %hub.counters, "lifecycle counters");
     match answered {
         true => tracing::info!(clients, parted, "stopped with open connections"),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -16,8 +16,10 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use umbertray_http::client::{self, Answers};
-use umbertray_lifecycle::Counters;
+use umbertray_lifecycle::attempt::told_time_holds;
+use umbertray_lifecycle::check::observe;
 use umbertray_lifecycle::reason::StoreCloseReason;
+use umbertray_lifecycle::{Counters, Decision, store_connection};
 use umbertray_platform::{Call, Returned, StoreId, words};
 
 use crate::bounds::Bounds;
@@ -34,7 +36,8 @@
     /// The one put back last of those that have been silent for so long. Danger: a second answer to what was asked
     /// before may come some milliseconds late; over a connection in use again it would be taken for another's.
     fn rested(&mut self, rest: Duration) -> Option<(TcpStream, Instant)> {
-        let at = self.idle.iter().rposition(|(_, since)| since.elapsed() >= rest)?;
+        let at =
+            self.idle.iter().rposition(|(_, since)| store_connection::is_settled(since.elapsed(), rest))?;
         Some(self.idle.remove(at))
     }
 }
@@ -98,16 +101,8 @@
                 .get_mut(&address)
                 .and_then(|pool| pool.rested(self.bounds().timeouts.reuse_delay));
             let Some((stream, since)) = rested else { break None };
-            if silent(&stream) && since.elapsed() < self.bounds().timeouts.store_idle {
-                break Some(stream);
-            }
-            let idle_for = since.elapsed();
-            let over = idle_for >= self.bounds().timeouts.store_idle;
-            self.closed_idle(
-                address,
-                if over { StoreCloseReason::IdleTimeout } else { StoreCloseReason::Spoilt },
-                idle_for,
-            );
+            let Err(reason) = self.may_reuse(&stream, since) else { break Some(stream) };
+            self.closed_idle(address, reason, since.elapsed());
             spoilt += 1;
         };
         self.closed(address, spoilt);
@@ -157,6 +152,11 @@
         self.room.notify_waiters();
     }
 
+    fn may_reuse(&self, stream: &TcpStream, since: Instant) -> Decision<StoreCloseReason> {
+        let idle_timeout = self.bounds().timeouts.store_idle;
+        store_connection::may_reuse(since.elapsed(), idle_timeout, !silent(stream))
+    }
+
     /// Counts and tells why an idle connection is closed.
     fn closed_idle(&self, store: SocketAddr, reason: StoreCloseReason, idle_for: Duration) {
         self.counters.count(reason);
@@ -177,13 +177,8 @@
         for address in addresses {
             let closed = self.pools.borrow_mut().get_mut(&address).map_or(0, |pool| {
                 let before = pool.idle.len();
-                let fresh = |since: &Instant| since.elapsed() < self.bounds().timeouts.store_idle;
                 pool.idle.retain(|(stream, since)| {
-                    let reason = match (fresh(since), silent(stream)) {
-                        (true, true) => return true,
-                        (false, _) => StoreCloseReason::IdleTimeout,
-                        (true, false) => StoreCloseReason::Spoilt,
-                    };
+                    let Err(reason) = self.may_reuse(stream, *since) else { return true };
                     self.closed_idle(address, reason, since.elapsed());
                     false
                 });
@@ -269,7 +264,10 @@
                 return Err(Returned::Withheld);
             }
         };
+        let told = hub.clock.now();
         write(&mut link, &bytes, written).await.ok_or(Returned::NeverWritten)?;
+        let took = hub.clock.now().saturating_sub(told);
+        check_told_time(hub, call, took);
         Ok(link)
     });
     let link = match sent.await {
@@ -287,6 +285,14 @@
     }
 }
 
+/// A process that was held up, or a store that reads slowly, may make the told time untrue.
+fn check_told_time(hub: &Hub, call: Call, took: Duration) {
+    observe(&hub.counters, told_time_holds(took), |violation| {
+        let id = hub.id(call).unwrap_or_default();
+        tracing::warn!(id, op = call.op.0, ?took, %violation, "lifecycle rule violated");
+    });
+}
+
 /// Nothing, if not all was written: a store begins with the last byte.
 async fn write(link: &mut Link<'_>, bytes: &Bytes, written: &Cell<bool>) -> Option<()> {
     link.stream.as_mut()?.write_all(bytes).await.ok()?;
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -193,6 +193,7 @@
     settings: Settings,
     /// By the numbers that the module knows them by: a name keeps its own, whatever the settings name later.
     zones: Vec<String>,
+    /// Of stores that drain, by the settings.
     grace: Duration,
     fields: Vec<String>,
     ops: HashMap<OpId, Door>,
@@ -243,9 +244,22 @@
     }
 }
 
-/// How long a store may be sent to after it was told that it drains.
-fn grace(settings: &Settings) -> Duration {
-    span(settings, "rules.drain_grace").unwrap_or_default()
+const DRAIN_GRACE: &str = "rules.drain_grace";
+
+/// How long a store may be sent to after this gateway was notified that it drains, by the settings.
+fn drain_grace(settings: &Settings) -> Duration {
+    span(settings, DRAIN_GRACE).unwrap_or_default()
+}
+
+/// The settings as the module decides by them: a grace that it may use whole. Hazard: what it decides on beyond that is
+/// denied at the first byte, again and again.
+fn for_module(settings: &Settings) -> Settings {
+    let mut settings = settings.clone();
+    if let Some(grace) = span(&settings, DRAIN_GRACE) {
+        let usable = attempt::usable_drain_grace(grace).as_secs_f64().to_string();
+        settings.insert(DRAIN_GRACE.into(), usable);
+    }
+    settings
 }
 
 impl Core {
@@ -259,7 +273,7 @@
             names,
             settings: settings.clone(),
             zones: words_of(settings.get("failure_domains")),
-            grace: grace(settings),
+            grace: drain_grace(settings),
             fields: words_of(settings.get("telemetry.fields")),
             ops: HashMap::new(),
             clients: HashMap::new(),
@@ -273,7 +287,7 @@
             listed: false,
             unheard: true,
             timers: BTreeSet::new(),
-            events: vec![Event::Start { seed: config.seed, settings: settings.clone() }],
+            events: vec![Event::Start { seed: config.seed, settings: for_module(settings) }],
             deeds: Vec::new(),
         };
         let cached = core.listings(&config.known);
@@ -413,9 +427,9 @@
         let (names, settings) = names(&settings).and_then(in_places)?;
         self.names = names;
         self.settings = settings.clone();
-        self.grace = grace(&settings);
+        self.grace = drain_grace(&settings);
         self.fields = words_of(settings.get("telemetry.fields"));
-        self.events.push(Event::Changed { settings });
+        self.events.push(Event::Changed { settings: for_module(&settings) });
         Ok(())
     }
 
@@ -552,7 +566,7 @@
         let left_at = self.stores.get(&store).and_then(|known| known.left_at).or(Some(self.told_at()));
         let left_at = left_at.filter(|_| state != StoreState::Ready);
         // The module counts a grace from when it hears: where there is none left, the store is gone to it.
-        let over = left_at.is_some_and(|at| at + self.grace <= self.now);
+        let over = left_at.is_some_and(|at| at + attempt::usable_drain_grace(self.grace) <= self.now);
         let to_module = if over { StoreState::Gone } else { state };
         let before = self.stores.insert(store, Store { uid, address, state, left_at });
         let left = before.map(|before| before.address).filter(|before| *before != address);
