--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -42,7 +42,8 @@
     hub: Rc<Hub>,
     /// As its client named it.
     id: Box<str>,
-    /// How long its client waits, from the request's first byte.
+    /// When it was handed on, whole, and how long its client waits. Slow clients write for longer than that.
+    taken_at: Instant,
     left: Duration,
     client: ClientId,
     answer: oneshot::Receiver<Reply>,
@@ -323,7 +324,7 @@
         // Hazard: without a word from the core it may have run.
         let reply = reply.unwrap_or(Reply::Aborted);
         tracing::debug!(connection = self.id, id = %op.id, client = ?op.client, ?took, %reply, "answered");
-        self.observe(&op.id, request::answered_in_time(took, op.left));
+        self.observe(&op.id, request::answered_in_time(op.taken_at.elapsed(), op.left));
         self.own = Own::Reply(reply);
         self.answered()
     }
@@ -355,7 +356,7 @@
         let (id, target, shard, left) = (ask.id.clone(), &request.target, ask.shard, ask.left);
         let (client, answer) = self.hub.ask(ask, self.begun);
         tracing::debug!(connection = self.id, id, ?client, %target, shard, ?left, phase = ?self.hub.phase(), "taken");
-        self.op = Some(Op { hub: self.hub.clone(), id, left, client, answer });
+        self.op = Some(Op { hub: self.hub.clone(), id, taken_at: Instant::now(), left, client, answer });
         None
     }
 
