Play randomized faults on real gateways, with an oracle from the peers' records

umbertray soak: 10 to 40 processes, a proxy on each link, signals, new configurations, faults of stores, overlapping, drawn from a seed that replays them. The oracle reads what clients, stores, discovery and proxies saw. Its rules are tested against records made by hand.

First tries judged the harness, not the gateway: clients drew any time left, which the module takes for time spent on earlier tries; they have a class's whole time now, or a tenth of them less.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod relay;
 mod scale;
 mod serve;
+mod soak;
 mod stand_in;
 mod state;
 
@@ -61,6 +62,8 @@
     StandIn(stand_in::Command),
     /// Plays a scripted day through real gateways and judges it by what crossed the sockets.
     Rehearse(rehearse::Arguments),
+    /// Plays randomized faults, drawn from a seed, on processes of `umbertray node`, and judges what crossed the sockets.
+    Soak(soak::Arguments),
     /// Measures the gateway against a pass-through of the same sockets and codecs, on loopback; a line of JSON a case.
     Measure(measure::Arguments),
     /// Measures what a fleet's size costs each gateway: hollow ones beside real ones; a line of JSON a point and role.
@@ -97,6 +100,7 @@
         Command::State(command) => state::run(command),
         Command::StandIn(command) => runtime.block_on(stand_in::run(command)),
         Command::Rehearse(arguments) => runtime.block_on(rehearse::run(arguments)),
+        Command::Soak(arguments) => runtime.block_on(soak::run(arguments)),
         Command::Measure(arguments) => runtime.block_on(measure::run(arguments)),
         Command::Scale(arguments) => {
             let status = runtime.block_on(scale::run(arguments));
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -9,5 +9,6 @@
 mod signals;
 mod sizes;
 
+mod soak;
 mod stopped_clients;
 mod store_endings;
--- /dev/null
+++ b/crates/cli/tests/platform/soak.rs
@@ -0,0 +1,26 @@
+//! The fault soak on a few seeds. Rules that depend on times are left to `umbertray soak`, which is run on many seeds on a
+//! machine that keeps up: here the verdict is the same on any.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use umbertray_rehearsal::soak::{self, Plan};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_that_overlap_break_no_counted_rule() {
+    for seed in [1, 2] {
+        let plan = Plan::draw(seed, 10, Duration::from_secs(5));
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder of the build's own");
+        let record = soak::run(&plan, Path::new(env!("CARGO_BIN_EXE_umbertray")), &folder)
+            .await
+            .expect("it is played");
+        assert!(record.requests.len() > 200, "{} requests", record.requests.len());
+        let findings = soak::judge(&record);
+        let counted: Vec<String> =
+            findings.iter().filter(|finding| !finding.rule.is_timed()).map(ToString::to_string).collect();
+        assert_eq!(counted, Vec::<String>::new(), "again: {plan}");
+        std::fs::remove_dir_all(&folder).expect("our own");
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod record;
 pub mod run;
+pub mod soak;
 
 pub use day::Day;
 pub use judge::{Verdict, judge};
--- /dev/null
+++ b/crates/rehearsal/src/soak/plan.rs
@@ -0,0 +1,162 @@
+//! What a soak plays: drawn from its seed alone, so that the seed and the size replay it.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use umbertray_standin::proxy::LinkFault;
+
+/// Shards, each with so many stores.
+pub const SHARDS: u32 = 4;
+/// Stores of each shard.
+pub const STORES_A_SHARD: u32 = 2;
+/// Faults begin after so long of quiet, and the last ones are over so long before the end.
+const QUIET: Duration = Duration::from_millis(700);
+/// Faults for each gateway and ten seconds.
+const FAULTS_A_GATEWAY: f64 = 10.0;
+
+/// A link of a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    Clients,
+    Discovery,
+    Store(u32),
+}
+
+/// What happens to a gateway, a link or a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Link {
+        gateway: u32,
+        link: Link,
+        fault: LinkFault,
+    },
+    /// SIGSTOP, then SIGCONT.
+    Stop {
+        gateway: u32,
+    },
+    /// SIGTERM, and a new start after its end.
+    Restart {
+        gateway: u32,
+    },
+    /// SIGKILL, and a new start.
+    Kill {
+        gateway: u32,
+    },
+    /// A configuration of this number, right or wrong, and SIGHUP.
+    Configure {
+        gateway: u32,
+        number: u32,
+    },
+    /// A store answers nothing while it lasts.
+    StoreHangs {
+        store: u32,
+    },
+    /// A store answers errors, or turns requests away unrun.
+    StoreFails {
+        store: u32,
+        unrun: bool,
+    },
+    /// A store ends connections in place of answers, before or after the request has run.
+    StoreCloses {
+        store: u32,
+    },
+    /// A store drains, is gone after that, and comes back.
+    StoreDrains {
+        store: u32,
+    },
+}
+
+/// One fault in its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planned {
+    pub at: Duration,
+    pub lasts: Duration,
+    pub fault: Fault,
+}
+
+/// A soak as it will be played.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    pub seed: u64,
+    pub gateways: u32,
+    pub lasts: Duration,
+    /// In the order of their beginnings; they overlap.
+    pub faults: Vec<Planned>,
+}
+
+/// The command that plays the same again.
+impl fmt::Display for Plan {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Plan { seed, gateways, lasts, .. } = self;
+        write!(formatter, "umbertray soak --seed {seed} --gateways {gateways} --seconds {}", lasts.as_secs())
+    }
+}
+
+impl Plan {
+    /// Draws the faults of a seed.
+    pub fn draw(seed: u64, gateways: u32, lasts: Duration) -> Plan {
+        let mut draw = StdRng::seed_from_u64(seed);
+        let count = (f64::from(gateways) * FAULTS_A_GATEWAY * lasts.as_secs_f64() / 10.0).ceil() as usize;
+        let latest = lasts.saturating_sub(3 * QUIET);
+        let mut faults: Vec<Planned> = (0..count)
+            .map(|number| {
+                let at = draw.random_range(QUIET..latest.max(QUIET + Duration::from_millis(1)));
+                let longest = lasts.saturating_sub(at + QUIET);
+                let fault = fault(&mut draw, gateways, number as u32);
+                Planned { at, lasts: span(&mut draw, fault).min(longest), fault }
+            })
+            .collect();
+        faults.sort_by_key(|planned| planned.at);
+        Plan { seed, gateways, lasts, faults }
+    }
+}
+
+fn fault(draw: &mut StdRng, gateways: u32, number: u32) -> Fault {
+    let (gateway, store) = (draw.random_range(0..gateways), draw.random_range(0..SHARDS * STORES_A_SHARD));
+    match draw.random_range(0..20) {
+        0..9 => Fault::Link { gateway, link: link(draw, store), fault: link_fault(draw) },
+        9..11 => Fault::Stop { gateway },
+        11..13 => Fault::Restart { gateway },
+        13 => Fault::Kill { gateway },
+        14..16 => Fault::Configure { gateway, number },
+        16 => Fault::StoreHangs { store },
+        17 => Fault::StoreFails { store, unrun: draw.random() },
+        18 => Fault::StoreCloses { store },
+        _ => Fault::StoreDrains { store },
+    }
+}
+
+fn link(draw: &mut StdRng, store: u32) -> Link {
+    match draw.random_range(0..6) {
+        0 => Link::Clients,
+        1 => Link::Discovery,
+        _ => Link::Store(store),
+    }
+}
+
+fn link_fault(draw: &mut StdRng) -> LinkFault {
+    let delay = Duration::from_millis(draw.random_range(5..120));
+    let faults = [
+        LinkFault::Hold,
+        LinkFault::Delay(delay),
+        LinkFault::Trickle,
+        LinkFault::Split,
+        LinkFault::Reset,
+        LinkFault::HalfClose,
+    ];
+    *faults.choose(draw).unwrap_or(&LinkFault::None)
+}
+
+fn span(draw: &mut StdRng, fault: Fault) -> Duration {
+    let ms = match fault {
+        // Within what the rules allow for, and far beyond it.
+        Fault::Stop { .. } => *[60, 120, 150, 700].choose(draw).unwrap_or(&60),
+        Fault::StoreDrains { .. } => draw.random_range(1500..3000),
+        Fault::Link { fault: LinkFault::Reset, .. } => draw.random_range(1..150),
+        _ => draw.random_range(100..2000),
+    };
+    Duration::from_millis(ms)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod medium;
 pub mod model;
 pub mod platform;
+pub mod proxy;
 pub mod store;
 pub mod traffic;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -174,8 +174,13 @@
 
     /// Lists a store, and tells who watches.
     pub fn list(&self, uid: &str, address: SocketAddr, shard: u32, state: &str) {
+        self.list_started(uid, address, shard, state, 0);
+    }
+
+    /// The same for a store that started at that time, in milliseconds since 1970.
+    pub fn list_started(&self, uid: &str, address: SocketAddr, shard: u32, state: &str, boot_ms: u64) {
         let entry = format!(
-            r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":{shard},"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+            r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":{shard},"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#
         );
         let mut known = self.known.lock().expect("no holder panics");
         known.version += 1;
