Take a store's start for no older than the newest stamp and real time since say

Cause: Core::listing handed boot_ms to the module as a moment of this process's clock, whose zero is this machine's wall clock; ahead by 30 s, a store that came back cold was 30 s old at once.

Change: platform::starts. The age of a start is the smaller of two bounds: this machine's clock less the stamp, and the newest stamp seen, with the monotonic time since, less the stamp. Neither alone is trusted; a stamp is a type of its own that is compared with its like only. The start of a known stamp stays what it was, so that no store is taken for started anew.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -19,6 +19,7 @@
 use crate::config::{Config, span};
 use crate::list::{Entry, List};
 use crate::places;
+use crate::starts::{BootTimestamp, StampClock};
 use crate::words;
 
 /// Who waits for an answer: one request of one connection, never used twice.
@@ -173,6 +174,8 @@
 
 struct Store {
     uid: String,
+    /// Its start as discovery stamps it, and as the module knows it: the same for as long as the stamp is.
+    start: Option<(BootTimestamp, Duration)>,
     address: SocketAddr,
     state: StoreState,
     /// When this gateway was told that it drains or is gone.
@@ -209,6 +212,7 @@
     listed: bool,
     /// The watch broke, or none has told a thing yet: when what it tells next was told is not known.
     unheard: bool,
+    stamps: StampClock,
     timers: BTreeSet<(Duration, u64)>,
     events: Vec<Event>,
     deeds: Vec<Deed>,
@@ -286,6 +290,7 @@
             next_volume: 0,
             listed: false,
             unheard: true,
+            stamps: StampClock::default(),
             timers: BTreeSet::new(),
             events: vec![Event::Start { seed: config.seed, settings: for_module(settings) }],
             deeds: Vec::new(),
@@ -537,6 +542,8 @@
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
         let told = self.told_at();
+        let newest = list.stores.iter().filter_map(|entry| entry.started).max();
+        _ = newest.map(|stamp| self.stamps.see(stamp, self.now));
         if list.whole {
             let named: HashSet<&str> = list.stores.iter().map(|entry| &*entry.uid).collect();
             for store in self.stores.values_mut().filter(|store| !named.contains(&*store.uid)) {
@@ -550,6 +557,13 @@
         list.stores.iter().map(|entry| self.listing(entry)).collect()
     }
 
+    /// When a store started, on the module's clock, as far as it is certain.
+    fn started(&self, store: StoreId, stamp: BootTimestamp) -> Duration {
+        let known = self.stores.get(&store).and_then(|known| known.start);
+        let known = known.filter(|(before, _)| *before == stamp).map(|(_, at)| at);
+        known.unwrap_or_else(|| self.now.saturating_sub(self.stamps.age(stamp, self.now)))
+    }
+
     /// Rule 3. Danger: what was missed counts as told although it did not come, also what an earlier process missed. A drain
     /// that is heard of only after a silence may have had its grace by then, and a second one would be sent past it.
     fn told_at(&self) -> Duration {
@@ -568,7 +582,8 @@
         // The module counts a grace from when it hears: where there is none left, the store is gone to it.
         let over = left_at.is_some_and(|at| at + attempt::usable_drain_grace(self.grace) <= self.now);
         let to_module = if over { StoreState::Gone } else { state };
-        let before = self.stores.insert(store, Store { uid, address, state, left_at });
+        let start = entry.started.map(|stamp| (stamp, self.started(store, stamp)));
+        let before = self.stores.insert(store, Store { uid, start, address, state, left_at });
         let left = before.map(|before| before.address).filter(|before| *before != address);
         let left = left.or((state == StoreState::Gone).then_some(address));
         self.deeds.extend(left.map(|address| Deed::Drop { address }));
@@ -577,7 +592,13 @@
             self.zones.push(entry.zone.clone());
             self.zones.len() - 1
         });
-        Listing { store, shard: entry.shard, zone: zone as u32, started: entry.started, state: to_module }
+        Listing {
+            store,
+            shard: entry.shard,
+            zone: zone as u32,
+            started: start.map(|(_, at)| at),
+            state: to_module,
+        }
     }
 
     fn act(&mut self, action: Action) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod core;
 pub mod list;
 mod places;
+pub mod starts;
 pub mod words;
 
 pub use ask::{Ask, Refused};
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,12 +1,13 @@
 //! The list of stores as discovery tells it: whole, or what changed.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use serde::Deserialize;
 use umbertray::interface::StoreState;
 
+use crate::starts::BootTimestamp;
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct List {
     pub version: u64,
@@ -23,8 +24,8 @@
     pub zone: String,
     pub shard: u32,
     pub state: StoreState,
-    /// Since 1970; absent: long ago.
-    pub started: Option<Duration>,
+    /// Absent: long ago.
+    pub started: Option<BootTimestamp>,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -81,7 +82,7 @@
                         StoreState::Gone
                     }
                 },
-                started: (entry.boot_ms > 0).then(|| Duration::from_millis(entry.boot_ms)),
+                started: BootTimestamp::from_millis(entry.boot_ms),
                 uid: entry.uid,
             })
         };
