Show that interrupted and short system calls lose requests

A preload shim of our own (crates/standin/shim/faults.c, built by the test with the C compiler that the linker is) makes calls on TCP sockets fail as Linux documents it, seeded.

--- /dev/null
+++ b/crates/cli/tests/platform/failing_calls.rs
@@ -0,0 +1,89 @@
+//! System calls that fail as Linux documents it: interrupted, short, for a moment. The operators' terms: all rules hold.
+
+use std::path::PathBuf;
+use std::sync::OnceLock;
+
+use tokio::task::JoinSet;
+use umbertray_standin::platform::{Act, Discovery, Store, ok};
+use umbertray_standin::shim::{self, CallFaults};
+
+use crate::common::{Node, config, op, within};
+
+const CLIENTS: u64 = 10;
+const REQUESTS: u64 = 20;
+
+fn library() -> PathBuf {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    let build = || {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("shim-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder of the build's own");
+        shim::build(&folder).expect("a C compiler, as the linker of this build")
+    };
+    BUILT.get_or_init(build).clone()
+}
+
+/// Of requests one after the other on kept connections and on new ones: how many were served, and how many had no answer.
+async fn served_and_lost(faults: CallFaults) -> (u64, u64) {
+    let discovery = Discovery::start().await.expect("loopback");
+    let store = Store::start(|_, _| Act::Write(ok(&"served".repeat(200)))).await.expect("loopback");
+    discovery.list("s0", store.address, 0, "ready");
+    let node = Node::with_environment(&config(discovery.address, 256), &faults.environment(&library())).await;
+    let (mut served, mut lost) = (0, 0);
+    let mut clients = JoinSet::new();
+    for client in 0..CLIENTS {
+        let mut caller = node.connect().await;
+        let address = node.address;
+        clients.spawn(async move {
+            let (mut served, mut lost) = (0, 0);
+            for n in 0..REQUESTS {
+                // A refusal is no loss, and may be asked again; an answer may be slow, and has to come.
+                caller.write(&op("look", 0, 1000 * client + n, 2000)).await;
+                match caller.answer_or_nothing().await {
+                    Some(answer) if answer.head.status == 200 => served += 1,
+                    Some(_) => {}
+                    None => {
+                        lost += 1;
+                        caller = crate::common::Caller::connect(address).await;
+                    }
+                }
+            }
+            (served, lost)
+        });
+    }
+    while let Some(counts) = within(60, "the clients", clients.join_next()).await {
+        let counts = counts.expect("no client panics");
+        (served, lost) = (served + counts.0, lost + counts.1);
+    }
+    (served, lost)
+}
+
+async fn none_is_lost(faults: CallFaults) {
+    for seed in 1..=3 {
+        let faults = CallFaults { seed, ..faults };
+        let (served, lost) = served_and_lost(faults).await;
+        let all = CLIENTS * REQUESTS;
+        assert!(lost == 0 && served * 10 >= all * 9, "{faults:?}: {served} of {all} served, {lost} lost");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn interrupted_calls_lose_nothing() {
+    none_is_lost(CallFaults { interrupted: 30, ..CallFaults::default() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_reads_and_writes_lose_nothing() {
+    none_is_lost(CallFaults { short_reads: 200, ..CallFaults::default() }).await;
+    none_is_lost(CallFaults { short_writes: 200, ..CallFaults::default() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_fail_for_a_moment_lose_nothing() {
+    none_is_lost(CallFaults { transient: 40, ..CallFaults::default() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_faults_of_calls_together_lose_nothing() {
+    let all = CallFaults { seed: 0, interrupted: 30, short_reads: 200, short_writes: 200, transient: 40 };
+    none_is_lost(all).await;
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod clocks;
 mod common;
 mod endings;
+mod failing_calls;
 mod reloads;
 mod serving;
 mod signals;
--- a/crates/rehearsal/src/soak/stage.rs
+++ b/crates/rehearsal/src/soak/stage.rs
@@ -312,10 +312,11 @@
             }
             Err(error) => self.crash(format!("gateway {gateway} did not start: {error}")),
         }
-        drop(process);
+        // The next fault of this process waits until it is ready: told to end before that, it never says so.
         if let Err(error) = self.ready(end).await {
             self.crash(format!("gateway {gateway} was not ready after its restart: {error}"));
         }
+        drop(process);
         let disturbance = if kill { Disturbance::Killed } else { Disturbance::Drain };
         self.disturbed(gateway, disturbance, told);
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod model;
 pub mod platform;
 pub mod proxy;
+pub mod shim;
 pub mod store;
 pub mod traffic;
 
