Move the front's bytes through one module that survives short and interrupted calls

Change: crates/socket. A direction is ready until the system says WouldBlock; EINTR is tried again at once; errors of accept are sorted by what helps (the next connection, a descriptor of our own, time); failures to connect that are this machine's own are tried again within the connect time-out and say nothing of the store. The front's clients, stores, watch and listener use it.

--- a/crates/cli/tests/platform/failing_calls.rs
+++ b/crates/cli/tests/platform/failing_calls.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use tokio::task::JoinSet;
 use umbertray_standin::platform::{Act, Discovery, Store, ok};
@@ -11,6 +12,9 @@
 
 const CLIENTS: u64 = 10;
 const REQUESTS: u64 = 20;
+/// A request that is refused is asked again so many times, after what gateways tell of with these settings.
+const TRIES: u64 = 3;
+const RETRY_AFTER: Duration = Duration::from_millis(400);
 
 fn library() -> PathBuf {
     static BUILT: OnceLock<PathBuf> = OnceLock::new();
@@ -36,14 +40,21 @@
         clients.spawn(async move {
             let (mut served, mut lost) = (0, 0);
             for n in 0..REQUESTS {
-                // A refusal is no loss, and may be asked again; an answer may be slow, and has to come.
-                caller.write(&op("look", 0, 1000 * client + n, 2000)).await;
-                match caller.answer_or_nothing().await {
-                    Some(answer) if answer.head.status == 200 => served += 1,
-                    Some(_) => {}
-                    None => {
-                        lost += 1;
-                        caller = crate::common::Caller::connect(address).await;
+                // A refusal is no loss, and the client comes back when it was told to.
+                for again in 0..TRIES {
+                    let id = TRIES * (1000 * client + n) + again;
+                    caller.write(&op("look", 0, id, 2000)).await;
+                    match caller.answer_or_nothing().await {
+                        Some(answer) if answer.head.status == 200 => {
+                            served += 1;
+                            break;
+                        }
+                        Some(_) => tokio::time::sleep(RETRY_AFTER).await,
+                        None => {
+                            lost += 1;
+                            caller = crate::common::Caller::connect(address).await;
+                            break;
+                        }
                     }
                 }
             }
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -7,7 +7,6 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::{unconstrained, yield_now};
 use tokio::time::{timeout, timeout_at};
@@ -20,6 +19,7 @@
 use umbertray_lifecycle::reason::{CloseReason, RefusalReason, Violation};
 use umbertray_lifecycle::{Decision, Timeouts, request};
 use umbertray_platform::{ClientId, Refused, Reply, words};
+use umbertray_socket::Socket;
 
 use crate::hub::Hub;
 use crate::response::{refusal, refused, rendered};
@@ -68,7 +68,7 @@
 pub struct Client {
     hub: Rc<Hub>,
     id: u64,
-    stream: TcpStream,
+    stream: Socket,
     demand_raised: Rc<Notify>,
     state: ConnectionState,
     requests: Requests,
@@ -99,7 +99,7 @@
 }
 
 impl Client {
-    pub fn new(hub: Rc<Hub>, id: u64, stream: TcpStream, reject: bool) -> Client {
+    pub fn new(hub: Rc<Hub>, id: u64, stream: Socket, reject: bool) -> Client {
         let demand_raised = Rc::new(Notify::new());
         hub.clients.insert(id, demand_raised.clone());
         let timeouts = &hub.bounds().timeouts;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch as watched};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -28,6 +28,7 @@
 use umbertray_lifecycle::{Timeouts, connection};
 use umbertray_platform::config::ConfigError;
 use umbertray_platform::{Config, Core, Input};
+use umbertray_socket::Socket;
 
 use crate::bounds::Bounds;
 use crate::hub::{Hub, Phase};
@@ -71,7 +72,7 @@
     let address = listener.local_addr().map_err(listen)?;
     let hub = Rc::new(Hub::new(core, clock, bounds));
     let (to_watch, source) = watched::channel(Source::of(&config));
-    let dial = TcpStream::connect::<SocketAddr>;
+    let dial = Socket::connect;
     let followed = watch::follow(dial, hub.clone(), source, config.known.version, config.seed);
     tokio::task::spawn_local(followed);
     tokio::task::spawn_local(store::tidy(hub.clone()));
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -1,15 +1,20 @@
 //! The listener: accepts clients' connections and starts a task for each.
 
-use std::io::ErrorKind;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
+use umbertray_socket::{AcceptError, accept_error};
+
 use crate::client::{Client, at_once};
 use crate::hub::{Hub, Phase};
 
+/// After a want of the system's the next try comes so much later.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
 /// Takes new connections until the gateway closes. Hazard: those that the system has accepted by then are reset with
 /// the listener, their requests lost.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
@@ -17,23 +22,18 @@
     for id in 0.. {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => Some(accepted),
+            accepted = umbertray_socket::accept(&listener) => Some(accepted),
             _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
                 yield_now().await;
-                at_once(listener.accept()).await
+                at_once(umbertray_socket::accept(&listener)).await
             }
         };
         let Some(accepted) = accepted else { return };
         let stream = match accepted {
             Ok((stream, _)) => stream,
-            // The client's doing: no other connection has to close for it.
-            Err(error) if error.kind() == ErrorKind::ConnectionAborted => continue,
-            // Out of descriptors, most likely: retry_until at once would spin.
             Err(error) => {
                 tracing::warn!(%error, "no client accepted");
-                if !hub.clients.make_room().await {
-                    sleep(hub.bounds().timeouts.connect).await;
-                }
+                recover(&hub, accept_error(&error)).await;
                 continue;
             }
         };
@@ -43,3 +43,14 @@
         tokio::task::spawn_local(client.serve());
     }
 }
+
+/// Waits for what a failed accept was for want of: trying at once would spin.
+async fn recover(hub: &Hub, error: AcceptError) {
+    let closed_one = error == AcceptError::Descriptors && hub.clients.make_room().await;
+    match error {
+        AcceptError::Transient => {}
+        AcceptError::System => sleep(ACCEPT_AGAIN).await,
+        AcceptError::Descriptors | AcceptError::Fatal if closed_one => {}
+        AcceptError::Descriptors | AcceptError::Fatal => sleep(hub.bounds().timeouts.connect).await,
+    }
+}
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
@@ -21,6 +20,7 @@
 use umbertray_lifecycle::reason::StoreCloseReason;
 use umbertray_lifecycle::{Counters, Decision, store_connection};
 use umbertray_platform::{Call, Returned, StoreId, words};
+use umbertray_socket::Socket;
 
 use crate::bounds::Bounds;
 use crate::hub::Hub;
@@ -28,14 +28,14 @@
 #[derive(Default)]
 struct Pool {
     /// In the order in which they were put back.
-    idle: Vec<(TcpStream, Instant)>,
+    idle: Vec<(Socket, Instant)>,
     open: usize,
 }
 
 impl Pool {
     /// The one put back last of those that have been silent for so long. Danger: a second answer to what was asked
     /// before may come some milliseconds late; over a connection in use again it would be taken for another's.
-    fn rested(&mut self, rest: Duration) -> Option<(TcpStream, Instant)> {
+    fn rested(&mut self, rest: Duration) -> Option<(Socket, Instant)> {
         let at =
             self.idle.iter().rposition(|(_, since)| store_connection::is_settled(since.elapsed(), rest))?;
         Some(self.idle.remove(at))
@@ -57,7 +57,7 @@
 struct Link<'a> {
     pools: &'a Pools,
     address: SocketAddr,
-    stream: Option<TcpStream>,
+    stream: Option<Socket>,
 }
 
 impl Drop for Link<'_> {
@@ -152,7 +152,7 @@
         self.room.notify_waiters();
     }
 
-    fn may_reuse(&self, stream: &TcpStream, since: Instant) -> Decision<StoreCloseReason> {
+    fn may_reuse(&self, stream: &Socket, since: Instant) -> Decision<StoreCloseReason> {
         let idle_timeout = self.bounds().timeouts.store_idle;
         store_connection::may_reuse(since.elapsed(), idle_timeout, !silent(stream))
     }
@@ -202,7 +202,7 @@
             }
             if let Some(mut link) = self.slot(address) {
                 let stream =
-                    timeout(self.bounds().timeouts.connect, TcpStream::connect(address)).await.ok()?.ok()?;
+                    timeout(self.bounds().timeouts.connect, Socket::connect(address)).await.ok()?.ok()?;
                 _ = stream.set_nodelay(true);
                 link.stream = Some(stream);
                 yield_now().await;
@@ -217,7 +217,7 @@
 }
 
 /// Nothing can be read: the connection stands, and nothing was sent over it unasked.
-fn silent(stream: &TcpStream) -> bool {
+fn silent(stream: &Socket) -> bool {
     let read = stream.try_read(&mut [0]);
     read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
 }
--- /dev/null
+++ b/crates/socket/tests/errors.rs
@@ -0,0 +1,43 @@
+//! What errors of accept(2) and connect(2) are taken for.
+
+use std::io;
+
+use nix::errno::Errno;
+use umbertray_socket::{AcceptError, accept_error, is_local, uninterrupted};
+
+#[test]
+fn errors_of_accept_are_sorted_by_what_helps() {
+    let transient =
+        vec![Errno::ECONNABORTED, Errno::EINTR, Errno::ENETDOWN, Errno::EPROTO, Errno::EHOSTUNREACH];
+    let cases = [
+        (AcceptError::Transient, transient),
+        (AcceptError::Descriptors, vec![Errno::EMFILE]),
+        (AcceptError::System, vec![Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM]),
+        (AcceptError::Fatal, vec![Errno::EBADF, Errno::EINVAL]),
+    ];
+    for (expected, errors) in cases {
+        for error in errors {
+            assert_eq!(accept_error(&io::Error::from(error)), expected, "{error}");
+        }
+    }
+}
+
+#[test]
+fn failures_to_connect_are_told_apart_by_whose_they_are() {
+    for error in [Errno::EADDRNOTAVAIL, Errno::ENETUNREACH, Errno::ENOBUFS, Errno::EMFILE] {
+        assert!(is_local(&io::Error::from(error)), "{error}");
+    }
+    for error in [Errno::ECONNREFUSED, Errno::ETIMEDOUT, Errno::EHOSTUNREACH, Errno::ECONNRESET] {
+        assert!(!is_local(&io::Error::from(error)), "{error}");
+    }
+}
+
+#[test]
+fn an_interrupted_call_is_done_again() {
+    let mut left = 3;
+    let done = uninterrupted(|| {
+        left -= 1;
+        if left > 0 { Err(io::ErrorKind::Interrupted.into()) } else { Ok(left) }
+    });
+    assert_eq!(done.expect("in the end"), 0);
+}
