--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod common;
 mod days;
+mod failing_calls;
 mod hard_cases;
 mod moves;
 mod relays;
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -53,6 +53,18 @@
         (command, name): (&str, &str),
         script: &str,
         arguments: &[&str],
+    ) -> io::Result<(Process, serde_json::Value)> {
+        Process::start_in(program, folder, (command, name), script, arguments, &[]).await
+    }
+
+    /// The same with variables of its own.
+    pub async fn start_in(
+        program: &Path,
+        folder: &Path,
+        (command, name): (&str, &str),
+        script: &str,
+        arguments: &[&str],
+        environment: &[(&str, String)],
     ) -> io::Result<(Process, serde_json::Value)> {
         let file = folder.join(format!("{name}.star"));
         tokio::task::block_in_place(|| std::fs::write(&file, script))?;
@@ -62,6 +74,7 @@
             .args(["--log", "json", command, "--config"])
             .arg(&file)
             .args(arguments)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
@@ -110,7 +123,19 @@
 impl Gateway {
     /// Starts `program serve` on a settings file written into `folder`.
     pub async fn start(program: &Path, folder: &Path, name: &str, settings: &str) -> io::Result<Gateway> {
-        let (process, said) = Process::start(program, folder, ("serve", name), settings, &[]).await?;
+        Gateway::start_in(program, folder, name, settings, &[]).await
+    }
+
+    /// The same with variables of its own.
+    pub async fn start_in(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        settings: &str,
+        environment: &[(&str, String)],
+    ) -> io::Result<Gateway> {
+        let (process, said) =
+            Process::start_in(program, folder, ("serve", name), settings, &[], environment).await?;
         let address = said["nbd"][0].as_str().and_then(|text| text.parse().ok());
         let address =
             address.ok_or_else(|| io::Error::other(format!("{name} did not say where it listens")))?;
