Move serve's, the coordinator's and relays' bytes through the same module

Sessions, links to stores, the list, peers and relays use crates/socket; their listeners pass over connections lost before accept. A session or link ended at EINTR.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -155,7 +155,7 @@
 /// At the bound on sessions nothing is accepted; clients wait in the system's backlog.
 async fn accept(listener: TcpListener, shared: Arc<session::Shared>, places: Arc<Semaphore>) {
     while let Ok(place) = places.clone().acquire_owned().await {
-        match listener.accept().await {
+        match umbertray_socket::accept(&listener).await {
             Ok((stream, peer)) => {
                 let shared = shared.clone();
                 tokio::spawn(async move {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -7,8 +7,6 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use umbertray_routing::{Hold, Input, StoreId};
 use umbertray_store_wire::store::{FromStore, ToStore};
@@ -16,6 +14,7 @@
 
 use crate::hub::ToHub;
 use umbertray_clock::Clock;
+use umbertray_socket::{ReadHalf, Socket, WriteHalf};
 
 /// A link silent for so long asks for a sign of life: it finds a half-open connection, and a fresh reading of the store's
 /// clock keeps the fence in time sharp.
@@ -62,8 +61,8 @@
         _ = self.to_hub.send(ToHub::Link(self.store, self.generation, input));
     }
 
-    async fn open(&self, address: SocketAddr) -> io::Result<(TcpStream, BytesMut, Input)> {
-        let mut stream = TcpStream::connect(address).await?;
+    async fn open(&self, address: SocketAddr) -> io::Result<(Socket, BytesMut, Input)> {
+        let mut stream = Socket::connect(address).await?;
         stream.set_nodelay(true)?;
         stream.write_all(&ToStore::Hello { run: self.run }.frame()).await?;
         let mut input = BytesMut::new();
@@ -82,7 +81,7 @@
         }
     }
 
-    async fn read(&self, mut reader: OwnedReadHalf, mut input: BytesMut) -> io::Result<()> {
+    async fn read(&self, mut reader: ReadHalf, mut input: BytesMut) -> io::Result<()> {
         loop {
             let at = self.clock.now();
             while let Some(message) = next_frame(&mut input).map_err(io::Error::other)? {
@@ -99,7 +98,7 @@
     }
 }
 
-async fn write(mut writer: OwnedWriteHalf, mut from_hub: FromHub) -> io::Result<()> {
+async fn write(mut writer: WriteHalf, mut from_hub: FromHub) -> io::Result<()> {
     let (mut messages, mut holds) = (Vec::new(), Vec::new());
     loop {
         tokio::select! {
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -6,9 +6,9 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use umbertray_routing::Input;
+use umbertray_socket::Socket;
 use umbertray_store_wire::list::{FromList, ToList};
 use umbertray_store_wire::{Message, next_frame};
 
@@ -73,15 +73,15 @@
     }
 }
 
-async fn open(address: SocketAddr, run: u64) -> io::Result<TcpStream> {
-    let mut stream = TcpStream::connect(address).await?;
+async fn open(address: SocketAddr, run: u64) -> io::Result<Socket> {
+    let mut stream = Socket::connect(address).await?;
     stream.set_nodelay(true)?;
     stream.write_all(&ToList::Hello { run }.frame()).await?;
     Ok(stream)
 }
 
 async fn converse(
-    stream: TcpStream,
+    stream: Socket,
     first: ToList,
     term: &mut Term,
     from_hub: &mut mpsc::UnboundedReceiver<ToList>,
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -11,7 +11,6 @@
 
 use arc_swap::ArcSwap;
 use bytes::{Bytes, BytesMut};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use umbertray_lifecycle::timeouts;
 use umbertray_nbd::proto::*;
@@ -23,6 +22,7 @@
 use crate::link::consume;
 use crate::reply::{self, Replies};
 use umbertray_clock::Clock;
+use umbertray_socket::Socket;
 
 /// The smallest range that a request may name, and the one that clients do best to use.
 const MINIMUM_BLOCK: u32 = 512;
@@ -99,7 +99,7 @@
 struct Running {
     shared: Arc<Shared>,
     id: SessionId,
-    stream: TcpStream,
+    stream: Socket,
     session: Session,
     replies: Replies,
     part: Part,
@@ -115,7 +115,7 @@
     queued: usize,
 }
 
-pub async fn run(shared: Arc<Shared>, stream: TcpStream, peer: SocketAddr) {
+pub async fn run(shared: Arc<Shared>, stream: Socket, peer: SocketAddr) {
     let id = SessionId(NEXT.fetch_add(1, Ordering::Relaxed));
     let (to_session, mut from_hub) = mpsc::unbounded_channel();
     let now = shared.clock.now();
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use umbertray_socket::Socket;
 use umbertray_store_wire::list::{FromList, ToList};
 use umbertray_store_wire::orders::Span;
 use umbertray_store_wire::{Message, next_frame};
@@ -42,7 +42,7 @@
 
 async fn ask(address: SocketAddr, question: ToList) -> Result<FromList, AskError> {
     let asked = async {
-        let mut stream = TcpStream::connect(address).await?;
+        let mut stream = Socket::connect(address).await?;
         stream.write_all(&ToList::Hello { run: 0 }.frame()).await?;
         stream.write_all(&question.frame()).await?;
         let mut input = BytesMut::new();
--- a/crates/keeper/src/peers.rs
+++ b/crates/keeper/src/peers.rs
@@ -4,9 +4,10 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use umbertray_fleet::{Input, LinkId};
+use umbertray_socket::Socket;
 use umbertray_store_wire::list::{FromList, ToList};
 use umbertray_store_wire::{Message, next_frame};
 
@@ -26,7 +27,7 @@
             links.join_next().await;
         }
         while links.try_join_next().is_some() {}
-        match listener.accept().await {
+        match umbertray_socket::accept(&listener).await {
             Ok((stream, _)) => _ = links.spawn(serve(LinkId(number), stream, to_hub.clone())),
             // Out of descriptors, most likely: trying at once would spin.
             Err(error) => {
@@ -37,7 +38,7 @@
     }
 }
 
-async fn serve(link: LinkId, stream: TcpStream, to_hub: mpsc::UnboundedSender<ToHub>) {
+async fn serve(link: LinkId, stream: Socket, to_hub: mpsc::UnboundedSender<ToHub>) {
     _ = stream.set_nodelay(true);
     let (mut reader, mut writer) = stream.into_split();
     let (to_peer, mut from_hub) = mpsc::channel::<FromList>(UNREAD);
--- a/crates/keeper/src/stores.rs
+++ b/crates/keeper/src/stores.rs
@@ -7,9 +7,9 @@
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use umbertray_fleet::Input;
+use umbertray_socket::Socket;
 use umbertray_store_wire::list::{Entry, FromList, State, ToList};
 use umbertray_store_wire::orders::{Order, Reply};
 use umbertray_store_wire::store::{FromStore, ToStore};
@@ -101,7 +101,7 @@
     mut orders: mpsc::UnboundedReceiver<Sent>,
     to_hub: mpsc::UnboundedSender<ToHub>,
 ) {
-    let mut open: Option<(TcpStream, BytesMut)> = None;
+    let mut open: Option<(Socket, BytesMut)> = None;
     while let Some(Sent { token, term, number, order }) = orders.recv().await {
         let asked = async {
             let (stream, input) = match &mut open {
@@ -127,15 +127,15 @@
     }
 }
 
-async fn connect(address: SocketAddr, hello: &impl Message) -> io::Result<TcpStream> {
-    let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+async fn connect(address: SocketAddr, hello: &impl Message) -> io::Result<Socket> {
+    let connected = tokio::time::timeout(CONNECT, Socket::connect(address)).await;
     let mut stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     stream.set_nodelay(true)?;
     stream.write_all(&hello.frame()).await?;
     Ok(stream)
 }
 
-async fn answer(stream: &mut TcpStream, input: &mut BytesMut, token: u64) -> io::Result<Reply> {
+async fn answer(stream: &mut Socket, input: &mut BytesMut, token: u64) -> io::Result<Reply> {
     loop {
         while let Some(message) = next_frame::<FromStore>(input).map_err(io::Error::other)? {
             if let FromStore::Ordered { token: answered, reply } = message
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior};
@@ -12,6 +12,7 @@
 use umbertray_config::Upstream;
 use umbertray_fleet::LinkId;
 use umbertray_fleet::relay::{Action, Entry, Event, HEARTBEAT, Left, Node, Note, TICK};
+use umbertray_socket::Socket;
 use umbertray_store_wire::changes::{FromUpstream, Position, Status, ToUpstream};
 use umbertray_versions::Told;
 use umbertray_versions::chain::{self, Head};
@@ -237,7 +238,7 @@
         self.links.insert(link, Link { address, peer: Peer::Upstream(to_peer), task });
     }
 
-    fn accepted(&mut self, stream: TcpStream, address: SocketAddr) {
+    fn accepted(&mut self, stream: Socket, address: SocketAddr) {
         self.accepted += 1;
         let link = LinkId(self.accepted);
         let (to_peer, unsent) = link::channel();
@@ -268,10 +269,10 @@
     }
 }
 
-async fn accept(listener: Option<&TcpListener>, from: Instant) -> std::io::Result<(TcpStream, SocketAddr)> {
+async fn accept(listener: Option<&TcpListener>, from: Instant) -> std::io::Result<(Socket, SocketAddr)> {
     tokio::time::sleep_until(from).await;
     match listener {
-        Some(listener) => listener.accept().await,
+        Some(listener) => umbertray_socket::accept(listener).await,
         None => std::future::pending().await,
     }
 }
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -8,10 +8,10 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use umbertray_fleet::LinkId;
 use umbertray_fleet::relay::{CONNECT, Event, MOST_UNSENT, SILENCE};
+use umbertray_socket::Socket;
 use umbertray_store_wire::changes::PART;
 use umbertray_store_wire::{Malformed, Message, next_frame};
 
@@ -51,8 +51,8 @@
     }
 }
 
-pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+pub async fn connect(address: SocketAddr) -> io::Result<Socket> {
+    let connected = tokio::time::timeout(CONNECT, Socket::connect(address)).await;
     connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
@@ -95,7 +95,7 @@
 /// Moves frames both ways until either way ends, or the hub has let go of its end and all that it said is sent. Where the hub
 /// has enough to do, nothing more is read.
 pub async fn run<In: Message, Out: Message>(
-    stream: TcpStream,
+    stream: Socket,
     unsent: Unsent<Out>,
     ear: Ear<'_>,
     event: impl Fn(In) -> Event,
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -13,6 +13,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::BufMut;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -65,6 +66,26 @@
         uninterrupted(|| self.0.try_read(to))
     }
 
+    /// Reads what is there behind what the buffer holds; `WouldBlock` where nothing is.
+    pub fn try_read_buf(&self, to: &mut impl BufMut) -> io::Result<usize> {
+        uninterrupted(|| self.0.try_read_buf(to))
+    }
+
+    /// Writes what the system takes of the slices; `WouldBlock` where it takes nothing.
+    pub fn try_write_vectored(&self, from: &[io::IoSlice<'_>]) -> io::Result<usize> {
+        uninterrupted(|| self.0.try_write_vectored(from))
+    }
+
+    /// Waits until there is something to read.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.0.readable().await
+    }
+
+    /// Waits until something can be written.
+    pub async fn writable(&self) -> io::Result<()> {
+        self.0.writable().await
+    }
+
     /// Waits for what it is interested in.
     pub async fn ready(&self, interest: Interest) -> io::Result<()> {
         self.0.ready(interest).await.map(drop)
