--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -21,6 +21,9 @@
     /// For how long faults come.
     #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(4..=600))]
     seconds: u64,
+    /// System calls of the gateways are interrupted, short or fail for a moment now and then; needs a C compiler.
+    #[arg(long)]
+    failing_calls: bool,
     /// The program whose `node` is played; this one where it is not given.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -35,7 +38,8 @@
     let lasts = Duration::from_secs(arguments.seconds);
     let mut broken = 0;
     for seed in arguments.seed..arguments.seed + arguments.repeat {
-        let plan = Plan::draw(seed, arguments.gateways, lasts);
+        let plan =
+            Plan { failing_calls: arguments.failing_calls, ..Plan::draw(seed, arguments.gateways, lasts) };
         let folder = arguments.out.join(format!("seed-{seed}"));
         std::fs::create_dir_all(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
         let record = soak::run(&plan, &program, &folder).await;
--- a/crates/rehearsal/src/soak/plan.rs
+++ b/crates/rehearsal/src/soak/plan.rs
@@ -83,6 +83,8 @@
     pub seed: u64,
     pub gateways: u32,
     pub lasts: Duration,
+    /// System calls of the gateways fail, are interrupted and short now and then.
+    pub failing_calls: bool,
     /// In the order of their beginnings; they overlap.
     pub faults: Vec<Planned>,
 }
@@ -90,8 +92,13 @@
 /// The command that plays the same again.
 impl fmt::Display for Plan {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Plan { seed, gateways, lasts, .. } = self;
-        write!(formatter, "umbertray soak --seed {seed} --gateways {gateways} --seconds {}", lasts.as_secs())
+        let Plan { seed, gateways, lasts, failing_calls, .. } = self;
+        write!(
+            formatter,
+            "umbertray soak --seed {seed} --gateways {gateways} --seconds {}",
+            lasts.as_secs()
+        )?;
+        if *failing_calls { formatter.write_str(" --failing-calls") } else { Ok(()) }
     }
 }
 
@@ -110,7 +117,7 @@
             })
             .collect();
         faults.sort_by_key(|planned| planned.at);
-        Plan { seed, gateways, lasts, faults }
+        Plan { seed, gateways, lasts, failing_calls: false, faults }
     }
 }
 
--- a/crates/rehearsal/src/soak/process.rs
+++ b/crates/rehearsal/src/soak/process.rs
@@ -60,6 +60,7 @@
         name: &str,
         discovery: SocketAddr,
         number: u32,
+        environment: &[(&str, String)],
     ) -> io::Result<Process> {
         let (config, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
         std::fs::write(&config, configuration(name, discovery, number))?;
@@ -67,6 +68,7 @@
         let mut child = Command::new(program)
             .args(["--log", "json", "--log-level", "info,umbertray_node=debug", "node"])
             .env("ROUTER_CONFIG", &config)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(errors)
--- a/crates/rehearsal/src/soak/stage.rs
+++ b/crates/rehearsal/src/soak/stage.rs
@@ -15,6 +15,7 @@
 use umbertray_http::server::Request as StoreRequest;
 use umbertray_standin::platform::{Act, Discovery, Store, ok};
 use umbertray_standin::proxy::{LinkFault, Proxy, Tap};
+use umbertray_standin::shim::{self, CallFaults};
 
 use crate::soak::client::{Client, LEFT, request};
 use crate::soak::oracle::KILLED_AFTER;
@@ -23,6 +24,9 @@
 use crate::soak::record::{Arrival, Attempt, Book, Disturbance, Drained, Effect, Exit, Record, Window};
 
 const CLIENTS_A_GATEWAY: u64 = 4;
+/// How often calls fail, in a thousand, where the plan asks for it.
+const CALL_FAULTS: CallFaults =
+    CallFaults { seed: 0, interrupted: 15, short_reads: 80, short_writes: 80, transient: 15 };
 /// A process may be stopped for so long without a rule being touched.
 const HOLD_UP: Duration = Duration::from_millis(150);
 /// Beyond that it disturbs its clients for so long after it goes on.
@@ -73,6 +77,8 @@
     program: std::path::PathBuf,
     folder: std::path::PathBuf,
     book: Arc<Book>,
+    /// The library that makes system calls fail, where the plan asks for it.
+    shim: Option<std::path::PathBuf>,
     stores: Vec<StoreEnd>,
     gateways: Vec<GatewayEnd>,
     ids: Arc<AtomicU64>,
@@ -186,6 +192,7 @@
             program: program.into(),
             folder: folder.into(),
             book,
+            shim: plan.failing_calls.then(|| shim::build(folder)).transpose()?,
             stores: Vec::new(),
             gateways: Vec::new(),
             ids: Arc::new(AtomicU64::new(1 << 32)),
@@ -218,7 +225,20 @@
     }
 
     async fn start(&self, number: u32, discovery: SocketAddr) -> io::Result<Process> {
-        Process::start(&self.program, &self.folder, &format!("g{number}"), discovery, number).await
+        Process::start(
+            &self.program,
+            &self.folder,
+            &format!("g{number}"),
+            discovery,
+            number,
+            &self.environment(number),
+        )
+        .await
+    }
+
+    fn environment(&self, gateway: u32) -> Vec<(&'static str, String)> {
+        let faults = CallFaults { seed: gateway, ..CALL_FAULTS };
+        self.shim.as_ref().map(|shim| faults.environment(shim).to_vec()).unwrap_or_default()
     }
 
     fn clients(&self, seed: u64, over: &watch::Receiver<bool>) -> JoinSet<()> {
