--- a/crates/rehearsal/src/soak/stage.rs
+++ b/crates/rehearsal/src/soak/stage.rs
@@ -1,6 +1,6 @@
 //! Playing a plan: processes, proxies, stores, discovery and clients, and the faults at their times.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -83,7 +83,7 @@
     gateways: Vec<GatewayEnd>,
     ids: Arc<AtomicU64>,
     /// Stores whose list entry is being changed.
-    draining: Mutex<HashMap<u32, ()>>,
+    draining: Mutex<HashSet<u32>>,
 }
 
 /// Plays a plan with this program; configurations and logs go to the folder.
@@ -318,12 +318,10 @@
             self.crash(format!("gateway {gateway} ended unasked: {status}"));
         }
         let told = self.book.now();
-        if kill {
-            process.kill().await;
-        } else {
+        if !kill {
             self.terminate(gateway, &mut process).await;
-            process.kill().await;
         }
+        process.kill().await;
         self.complain(&process);
         match self.start(gateway, end.to_discovery.address).await {
             Ok(next) => {
@@ -359,7 +357,7 @@
 
     /// Draining, then gone for a while, then ready.
     async fn drain(&self, store: u32, lasts: Duration) {
-        let begins = self.draining.lock().is_ok_and(|mut draining| draining.insert(store, ()).is_none());
+        let begins = self.draining.lock().is_ok_and(|mut draining| draining.insert(store));
         if !begins {
             return;
         }
