Wait for a write of the round itself where a client leaves with writes in flight

hard_cases::disconnecting_clients_with_requests_in_flight_release_their_capacity failed now and then on a machine with far more runnable threads than cores: some are out, not within 5 s. Callers saw nothing: the fault is the test's.

Cause: it counted the writes that stores had received after sending its own, then waited for one more. Where its thread was not scheduled in between, all writes of the round had come before the count.

The wait is now for a write that has a mark of the round, which is stricter: a late write of the round before no longer satisfies it. restarted_gateway_overloads_no_cold_store counted in the same way and is mended alike.

--- a/crates/cli/tests/sockets/hard_cases.rs
+++ b/crates/cli/tests/sockets/hard_cases.rs
@@ -1,5 +1,6 @@
 //! The hard cases of the running gateway, each through real sockets.
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use crate::common::{
@@ -20,6 +21,14 @@
     move |entry| matches!(&entry.seen, Seen::Received { work: w, .. } if w == work)
 }
 
+/// A write of one block with one of these marks, which names the requests that it is of.
+fn is_block_write_marked(marks: RangeInclusive<u64>) -> impl Fn(&umbertray_fakes::Entry) -> bool {
+    move |entry| {
+        matches!(&entry.seen, Seen::Received { work, length, mark, .. }
+            if work == "Write" && *length == 4 * KIB && marks.contains(mark))
+    }
+}
+
 /// 1. A store dies in the middle of a read whose first chunk the client has.
 #[tokio::test(flavor = "multi_thread")]
 async fn read_of_store_that_dies_midway_continues_at_successor() {
@@ -64,6 +73,12 @@
 }
 
 /// 2. A client disconnects in the middle of a reply, with a hundred writes in flight; their capacity is released each time.
+///
+/// This test failed now and then on a machine with far more runnable threads than cores ("some are out: not within 5 s").
+/// It counted the writes that stores had received after it had sent its own, and waited for one more. Where its thread was
+/// not scheduled between the two, all writes of the round that were to come had come before the count, and the gateway owed
+/// no other: in 13 failures of 800 the sends had taken 0.14 to 0.44 s, and of the round 12 to 38 writes were received by the
+/// count and none after it. It now waits for a write of the round itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn disconnecting_clients_with_requests_in_flight_release_their_capacity() {
     let fleet = start_fleet(2).await;
@@ -74,15 +89,16 @@
     for round in 0..10 {
         let leaving = connect(&gateway).await;
         let reading = leaving.send(Command::Read, 0, 0, 256 * KIB, Bytes::new());
+        let first_mark = 1000 * round + 1;
         let writes: Vec<_> = (0..100u32)
             .map(|n| {
                 let block = u64::from(100 + n);
-                let data = block_contents(1000 * round + u64::from(n) + 1, block, 1);
+                let data = block_contents(first_mark + u64::from(n), block, 1);
                 leaving.send(Command::Write, 0, block * 4096, 4096, data)
             })
             .collect();
-        let before = fleet.book.entries().iter().filter(|entry| is_received("Write")(entry)).count();
-        within(5, "some are out", fleet.book.until(before + 1, is_received("Write"))).await;
+        let of_this_round = is_block_write_marked(first_mark..=first_mark + 99);
+        within(5, "some are out", fleet.book.until(1, of_this_round)).await;
         leaving.cut();
         drop((reading, writes));
         let found = within(5, "the one that stays", staying.read(0, 256 * KIB)).await;
@@ -232,9 +248,10 @@
             });
             requests.collect::<Vec<_>>()
         };
-        let requests = flood(1000 * life + 1);
-        let before = fleet.book.entries().iter().filter(|entry| is_received("Write")(entry)).count();
-        within(5, "load", fleet.book.until(before + 5, is_received("Write"))).await;
+        let first_mark = 1000 * life + 1;
+        let requests = flood(first_mark);
+        let of_this_life = is_block_write_marked(first_mark..=first_mark + 299);
+        within(5, "load", fleet.book.until(5, of_this_life)).await;
         gateway.kill().await.expect("our own child");
         for request in requests {
             within(5, "the end of each", request).await.ok();
