Give each run of a test a folder of its own

Cause: folders were named by the test alone. TestFolder (fakes) has the process's id in its name, is removed where the test passes, and is kept and named where it fails.

--- a/crates/cli/tests/golden.rs
+++ b/crates/cli/tests/golden.rs
@@ -3,14 +3,14 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
+use umbertray_fakes::test_folder::TestFolder;
+
 const RECORDED: &str = include_str!("golden/commands.txt");
 
 /// A copy of the recorded log of changes, in a folder of this test's own.
-fn changes() -> PathBuf {
+fn changes() -> TestFolder {
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../config-log/tests/golden/changes");
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("golden-changes");
-    _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).expect("a folder");
+    let folder = TestFolder::create(env!("CARGO_TARGET_TMPDIR"), "golden-changes").expect("a folder");
     for entry in std::fs::read_dir(source).expect("recorded files") {
         let path = entry.expect("a file").path();
         std::fs::copy(&path, folder.join(path.file_name().expect("a name"))).expect("room");
--- a/crates/config-log/tests/golden.rs
+++ b/crates/config-log/tests/golden.rs
@@ -9,6 +9,7 @@
 use umbertray_config_log::log::{self, Log};
 use umbertray_config_log::model::{Configuration, Edit, Key, Kind};
 use umbertray_config_log::{FolderReader, LogCopy, Replica, Update, applied_version};
+use umbertray_fakes::test_folder::TestFolder;
 use umbertray_snapshot::Storage;
 use umbertray_snapshot::sim::SimulatedDisk;
 
@@ -55,7 +56,9 @@
 fn assert_recorded(disk: &SimulatedDisk, folder: &str) {
     let written = files(disk);
     if written != files(&recorded_disk(folder)) {
-        let left = Path::new(env!("CARGO_TARGET_TMPDIR")).join("golden").join(folder);
+        let left = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("golden-{}", std::process::id()))
+            .join(folder);
         std::fs::create_dir_all(&left).expect("a folder");
         written.iter().for_each(|(name, bytes)| std::fs::write(left.join(name), bytes).expect("room"));
         panic!("tests/golden/{folder} differs from what was written, see {}", left.display());
@@ -149,8 +152,7 @@
 
 #[test]
 fn acted_version_is_written_and_read_as_recorded() {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("golden-acted");
-    _ = std::fs::remove_dir_all(&folder);
+    let folder = TestFolder::create(env!("CARGO_TARGET_TMPDIR"), "golden-acted").expect("a folder");
     applied_version::write(&folder, 19, [7; 32]).expect("room");
     let written = std::fs::read_to_string(folder.join("acted")).expect("a file");
     assert_eq!(written, format!(r#"{{"version":19,"hash":[{}]}}"#, ["7"; 32].join(",")));
--- a/crates/config-log/tests/log/commits.rs
+++ b/crates/config-log/tests/log/commits.rs
@@ -1,12 +1,12 @@
 //! Changes that are rejected, retried or race.
 
 use serde_json::json;
-use std::path::Path;
 use std::time::Duration;
 use umbertray_config_log::change::{Change, ChangeRejected};
 use umbertray_config_log::guard::Guard;
 use umbertray_config_log::log::{self, Log};
 use umbertray_config_log::model::{Edit, Key, Kind};
+use umbertray_fakes::test_folder::TestFolder;
 use umbertray_snapshot::Disk;
 use umbertray_snapshot::sim::SimulatedDisk;
 
@@ -83,8 +83,7 @@
 
 #[test]
 fn racing_writers_lose_no_change() {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("racing");
-    _ = std::fs::remove_dir_all(&folder);
+    let folder = TestFolder::create(env!("CARGO_TARGET_TMPDIR"), "racing").expect("a folder");
     let open = || {
         let disk = Disk::open_waiting(&folder, Duration::from_secs(60)).expect("its turn");
         Log::open(Box::new(disk), 4096).expect("whole")
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod proxy;
 pub mod shim;
 pub mod store;
+pub mod test_folder;
 pub mod traffic;
 
 pub use book::{Book, Entry};
--- a/crates/nbd-gateway/tests/relays/common.rs
+++ b/crates/nbd-gateway/tests/relays/common.rs
@@ -16,6 +16,7 @@
 use umbertray_config_log::log::{Log, SEGMENT_BYTES};
 use umbertray_config_log::model::{Configuration, Edit, Key, Kind};
 use umbertray_config_log::{FolderReader, Update};
+use umbertray_fakes::test_folder::TestFolder;
 use umbertray_nbd_gateway::{
     ChangeSource, GatewayError, GatewayOptions, RelaySource, RelayedChanges, RunningGateway,
 };
@@ -44,12 +45,9 @@
     ended.unwrap_or_else(|_| panic!("{what}: not within 40 s; the log:\n{}", log_lines().join("\n")))
 }
 
-/// A folder of this test's own, emptied first.
-pub(crate) fn test_folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).expect("a folder for the test");
-    folder
+/// An empty folder of this run's own.
+pub(crate) fn test_folder(name: &str) -> TestFolder {
+    TestFolder::create(env!("CARGO_TARGET_TMPDIR"), name).expect("a folder for the test")
 }
 
 /// The one writer of a log.
--- a/crates/snapshot/tests/crashes.rs
+++ b/crates/snapshot/tests/crashes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::{Gen, QuickCheck};
+use umbertray_fakes::test_folder::TestFolder;
 use umbertray_routing::Snapshot;
 use umbertray_routing::saved::{LearnedFigures, StoreRecord, VolumeRecord};
 use umbertray_snapshot::delta::CurrentSnapshot;
@@ -257,8 +258,7 @@
 
 #[test]
 fn real_folder_is_locked_and_reloads_saved_state() {
-    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("state-folder");
-    _ = std::fs::remove_dir_all(&folder);
+    let folder = TestFolder::create(env!("CARGO_TARGET_TMPDIR"), "state-folder").expect("a folder");
     let disk = Disk::open(&folder).expect("a folder");
     assert_eq!(Disk::open(&folder).err().map(|error| error.kind()), Some(std::io::ErrorKind::WouldBlock));
     let (mut first, ..) =
