Play each fault of a scenario in a task of its own, and record when it happened

Callers saw nothing: the record was wrong.

Cause: steps were played one after another, each awaited. A coordinator that took long to start held up the SIGCONT of a stopped gateway, while the record had the planned end, from which the judge counted.

One task owns one fault from its beginning to its end, and what is recorded is when signals were sent. Late steps and hold-ups of the test itself are in the record and the verdict; a breach names what happened around it. A raised limit counts from where its commit began. Move requests go to a coordinator that is down until it answers.

--- a/crates/cli/src/fault_test.rs
+++ b/crates/cli/src/fault_test.rs
@@ -96,6 +96,14 @@
             output::print_line(&format!("    {breach}"));
         }
     }
+    for step in &verdict.late_steps {
+        output::print_line(&format!(
+            "  {} planned at {:.3} s began {:.3} s late",
+            step.fault,
+            step.planned as f64 / 1e6,
+            step.late as f64 / 1e6
+        ));
+    }
     print_after_return("10 s after a return", &service.after_return);
     print_after_return("others then", &service.others_then);
     print_recovery(service);
--- a/crates/cli/src/measure/memory.rs
+++ b/crates/cli/src/measure/memory.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use umbertray_fakes::client::Connection;
 use umbertray_fakes::fleet::Fleet;
-use umbertray_fault_tests::run::Gateway;
+use umbertray_fault_tests::process::Gateway;
 use umbertray_nbd::Command;
 
 use super::Arguments;
--- a/crates/cli/tests/sockets/failing_calls.rs
+++ b/crates/cli/tests/sockets/failing_calls.rs
@@ -5,7 +5,7 @@
 use tokio::task::JoinSet;
 use umbertray_fakes::client::Connection;
 use umbertray_fakes::shim::{self, CallFaults};
-use umbertray_fault_tests::run::Gateway;
+use umbertray_fault_tests::process::Gateway;
 
 use crate::common::{block_contents, empty_folder, program_path, start_fleet, within};
 
--- a/crates/cli/tests/sockets/hard_cases.rs
+++ b/crates/cli/tests/sockets/hard_cases.rs
@@ -13,7 +13,7 @@
 use umbertray_fakes::client::Connection;
 use umbertray_fakes::fleet::Fleet;
 use umbertray_fakes::model::{Fault, Power};
-use umbertray_fault_tests::run::Gateway;
+use umbertray_fault_tests::process::Gateway;
 use umbertray_nbd::Command;
 use umbertray_store_protocol::list::EndpointState;
 
--- a/crates/cli/tests/sockets/relays.rs
+++ b/crates/cli/tests/sockets/relays.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use umbertray_fakes::client::Connection;
-use umbertray_fault_tests::run::Gateway;
+use umbertray_fault_tests::process::Gateway;
 
 use crate::changes::{apply_change, new_log, wait_until_applied};
 use crate::common::{
--- a/crates/cli/tests/sockets/restarts.rs
+++ b/crates/cli/tests/sockets/restarts.rs
@@ -9,7 +9,7 @@
 use tokio::process::Command;
 use umbertray_fakes::client::Connection;
 use umbertray_fakes::fleet::Fleet;
-use umbertray_fault_tests::run::Gateway;
+use umbertray_fault_tests::process::Gateway;
 use umbertray_routing::settings::Limit;
 use umbertray_snapshot::Disk;
 use umbertray_snapshot::folder::files;
--- a/crates/fault-tests/src/judge/mod.rs
+++ b/crates/fault-tests/src/judge/mod.rs
@@ -3,11 +3,12 @@
 mod registers;
 mod rules;
 mod service;
+mod surroundings;
 
 use serde::Serialize;
 
 use crate::day::Day;
-use crate::record::Record;
+use crate::record::{HeldUp, LateStep, Record};
 
 pub use service::{Count, Service};
 
@@ -47,6 +48,10 @@
     pub kept: bool,
     pub findings: Vec<Finding>,
     pub service: Service,
+    /// Steps of faults that began later than the day's slack.
+    pub late_steps: Vec<LateStep>,
+    /// Times in which the test itself was held up: timed rules are less sure of what falls into them.
+    pub held_up: Vec<HeldUp>,
 }
 
 pub fn judge(day: &Day, record: &Record) -> Verdict {
@@ -62,7 +67,9 @@
         registers::registers(&seen),
     ];
     let kept = findings.iter().all(|finding| finding.broken == 0);
-    Verdict { kept, findings, service: service::service(day, record) }
+    let service = service::service(day, record);
+    let (late_steps, held_up) = (record.late_steps.clone(), record.held_up.clone());
+    Verdict { kept, findings, service, late_steps, held_up }
 }
 
 #[cfg(test)]
--- a/crates/fault-tests/src/judge/tests.rs
+++ b/crates/fault-tests/src/judge/tests.rs
@@ -69,7 +69,7 @@
             entry(1_220_000, answered(2)),
         ],
         deeds: Vec::new(),
-        strays: Vec::new(),
+        ..Record::default()
     }
 }
 
--- a/crates/fault-tests/src/lib.rs
+++ b/crates/fault-tests/src/lib.rs
@@ -5,11 +5,12 @@
 pub mod day;
 pub mod judge;
 pub mod load;
+pub mod process;
 pub mod record;
-pub mod run;
+mod scenario;
 pub mod soak;
 
 pub use day::Day;
 pub use judge::{Verdict, judge};
 pub use record::Record;
-pub use run::run_scenario;
+pub use scenario::run_scenario;
--- a/crates/fault-tests/src/record.rs
+++ b/crates/fault-tests/src/record.rs
@@ -62,7 +62,7 @@
     Ready {
         store: u64,
     },
-    /// Nothing runs in a gateway until then.
+    /// SIGSTOP was sent to a gateway; until then, when SIGCONT was.
     Stalled {
         gateway: usize,
         until: u64,
@@ -74,11 +74,23 @@
     Returned {
         gateway: usize,
     },
-    /// A plan's limit is another from now on; gateways that follow the log act on it a little later.
+    /// A plan's limit is another from now on, safely committed; gateways that follow the log act on it a little later.
     Limit {
         plan: String,
         rate: f64,
         burst: f64,
+        /// When its commit began; the deed's own time is the commit's synced end.
+        began: u64,
+    },
+    /// The coordinator was killed.
+    CoordinatorKilled,
+    /// The coordinator was stopped until then.
+    CoordinatorStalled {
+        until: u64,
+    },
+    /// A coordinator said that it is at work.
+    CoordinatorStarted {
+        term: u64,
     },
     /// The list answers later by so much, microseconds.
     ListDelay {
@@ -86,6 +98,22 @@
     },
 }
 
+/// This process itself was held up between these times, microseconds: what it did or measured then is late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldUp {
+    pub from: u64,
+    pub to: u64,
+}
+
+/// A step of a fault that began later than the day's slack, microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LateStep {
+    pub fault: String,
+    /// Since the day's faults began to be played.
+    pub planned: u64,
+    pub late: u64,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Record {
     pub asked: Vec<Asked>,
@@ -93,4 +121,6 @@
     pub deeds: Vec<(u64, Deed)>,
     /// Replies that belonged to no open request, and bytes that were no replies.
     pub strays: Vec<String>,
+    pub held_up: Vec<HeldUp>,
+    pub late_steps: Vec<LateStep>,
 }
--- a/crates/scale/src/measurement/processes.rs
+++ b/crates/scale/src/measurement/processes.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use umbertray_fault_tests::run::Process;
+use umbertray_fault_tests::process::Process;
 
 use super::Setup;
 use crate::worker::{NamedStore, Order, Reply};
--- a/crates/scale/src/measurement/stage.rs
+++ b/crates/scale/src/measurement/stage.rs
@@ -7,7 +7,7 @@
 
 use rand::rngs::StdRng;
 use umbertray_fakes::traffic::Crossed;
-use umbertray_fault_tests::run::Process;
+use umbertray_fault_tests::process::Process;
 
 use super::ZONES;
 use super::usage::process_usage;
--- a/crates/scale/src/measurement/startup.rs
+++ b/crates/scale/src/measurement/startup.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use umbertray_fakes::fleet::any_port;
-use umbertray_fault_tests::run::Process;
+use umbertray_fault_tests::process::Process;
 
 use super::processes::{start_coordinator, start_list, start_worker};
 use super::stage::{POLL_INTERVAL, STEADY_TIMEOUT};
--- a/crates/scale/src/relays.rs
+++ b/crates/scale/src/relays.rs
@@ -5,7 +5,7 @@
 
 use nix::sys::signal::Signal;
 use serde::{Deserialize, Serialize};
-use umbertray_fault_tests::run::Process;
+use umbertray_fault_tests::process::Process;
 
 use crate::ScaleError;
 use crate::measurement::{Setup, ZONES};
