--- a/crates/cli/tests/platform/failing_calls.rs
+++ b/crates/cli/tests/platform/failing_calls.rs
@@ -96,6 +96,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn combined_call_faults_lose_no_response() {
-    let all = CallFaults { seed: 0, interrupted: 30, short_reads: 200, short_writes: 200, transient: 40 };
+    let all = CallFaults {
+        interrupted: 30,
+        short_reads: 200,
+        short_writes: 200,
+        transient: 40,
+        ..CallFaults::default()
+    };
     assert_no_response_lost(all).await;
 }
--- a/crates/cli/tests/sockets/changes.rs
+++ b/crates/cli/tests/sockets/changes.rs
@@ -65,6 +65,17 @@
     folder: &Path,
     changes: &Path,
     number: u64,
+) -> std::io::Result<Gateway> {
+    start_follower_in(fleet, folder, changes, number, &[]).await
+}
+
+/// The same with environment variables of its own.
+pub(crate) async fn start_follower_in(
+    fleet: &Fleet,
+    folder: &Path,
+    changes: &Path,
+    number: u64,
+    environment: &[(&str, String)],
 ) -> std::io::Result<Gateway> {
     let script = format!(
         "gateway(listen = [\"127.0.0.1:0\"], list = {:?}, seed = {number}, gateways = 2, extent = 256 * KiB, state = {:?}, changes = {:?})",
@@ -72,7 +83,7 @@
         folder.join(format!("state-{number}")),
         changes
     );
-    Gateway::start(program_path(), folder, &format!("g{number}"), &script).await
+    Gateway::start_in(program_path(), folder, &format!("g{number}"), &script, environment).await
 }
 
 /// Waits until a gateway's log reports that it has applied a version.
--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -10,3 +10,4 @@
 mod restarts;
 mod scale;
 mod sessions;
+mod slow_disks;
--- a/crates/cli/tests/sockets/relays.rs
+++ b/crates/cli/tests/sockets/relays.rs
@@ -17,9 +17,9 @@
     within,
 };
 
-struct Relay {
+pub(crate) struct Relay {
     child: Child,
-    address: String,
+    pub(crate) address: String,
 }
 
 impl Relay {
@@ -32,7 +32,7 @@
     }
 }
 
-async fn start_relay(folder: &Path, name: &str, script: &str) -> Relay {
+pub(crate) async fn start_relay(folder: &Path, name: &str, script: &str) -> Relay {
     let file = folder.join(format!("{name}.star"));
     std::fs::write(&file, script).expect("room");
     let mut command = Command::new(program_path());
--- a/crates/fakes/shim/faults.c
+++ b/crates/fakes/shim/faults.c
@@ -2,6 +2,8 @@
  *
  * UMBERTRAY_FAULTS="seed=1 eintr=30 short_read=200 short_write=200 transient=50": chances in a thousand. Calls on TCP sockets
  * alone are touched. `transient` is for accept4, connect and socket: ECONNABORTED, ENOBUFS, ENFILE, ENETUNREACH in turn.
+ *
+ * "sync_ms=200 sync_every=4": every fourth fsync, fdatasync and rename takes 200 ms longer, like a disk that others write to.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -10,12 +12,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
-static unsigned eintr, short_read, short_write, transient;
+static unsigned eintr, short_read, short_write, transient, sync_ms, sync_every;
 static atomic_ullong state;
+static atomic_uint syncs;
 
 static unsigned field(const char *text, const char *name) {
     const char *at = text ? strstr(text, name) : NULL;
@@ -26,6 +30,7 @@
     const char *text = getenv("UMBERTRAY_FAULTS");
     eintr = field(text, "eintr="), short_read = field(text, "short_read=");
     short_write = field(text, "short_write="), transient = field(text, "transient=");
+    sync_ms = field(text, "sync_ms="), sync_every = field(text, "sync_every=");
     atomic_store(&state, 0x9e3779b97f4a7c15ull * (field(text, "seed=") + 1));
 }
 
@@ -66,6 +71,12 @@
     return 1;
 }
 
+static void wait_for_disk(void) {
+    if (!sync_ms || !sync_every || atomic_fetch_add(&syncs, 1) % sync_every) return;
+    struct timespec left = {sync_ms / 1000, (long)(sync_ms % 1000) * 1000000};
+    while (nanosleep(&left, &left) == -1 && errno == EINTR) {}
+}
+
 #define REAL(name) static __typeof__(&name) real; if (!real) real = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
 
 ssize_t recv(int fd, void *to, size_t length, int flags) {
@@ -120,3 +131,21 @@
     }
     return real(fd, to, length);
 }
+
+int fsync(int fd) {
+    REAL(fsync);
+    wait_for_disk();
+    return real(fd);
+}
+
+int fdatasync(int fd) {
+    REAL(fdatasync);
+    wait_for_disk();
+    return real(fd);
+}
+
+int rename(const char *from, const char *to) {
+    REAL(rename);
+    wait_for_disk();
+    return real(from, to);
+}
--- a/crates/fakes/src/shim.rs
+++ b/crates/fakes/src/shim.rs
@@ -19,14 +19,20 @@
     pub short_writes: u32,
     /// accept, socket and connect fail for a moment.
     pub transient: u32,
+    /// By how much fsync, fdatasync and rename take longer, in milliseconds.
+    pub sync_delay_ms: u32,
+    /// One in this many of them does; none where it is 0.
+    pub sync_every: u32,
 }
 
 impl CallFaults {
     /// The variables that a process has to be started with.
     pub fn environment(&self, shim: &Path) -> [(&'static str, String); 2] {
-        let CallFaults { seed, interrupted, short_reads, short_writes, transient } = self;
+        let CallFaults { seed, interrupted, short_reads, short_writes, transient, .. } = self;
+        let CallFaults { sync_delay_ms, sync_every, .. } = self;
         let faults = format!(
-            "seed={seed} eintr={interrupted} short_read={short_reads} short_write={short_writes} transient={transient}"
+            "seed={seed} eintr={interrupted} short_read={short_reads} short_write={short_writes} \
+             transient={transient} sync_ms={sync_delay_ms} sync_every={sync_every}"
         );
         [("LD_PRELOAD", shim.display().to_string()), ("UMBERTRAY_FAULTS", faults)]
     }
--- a/crates/fault-tests/src/soak/stage.rs
+++ b/crates/fault-tests/src/soak/stage.rs
@@ -25,8 +25,15 @@
 
 const CLIENTS_A_GATEWAY: u64 = 4;
 /// How often calls fail, in a thousand, where the plan asks for it.
-const CALL_FAULTS: CallFaults =
-    CallFaults { seed: 0, interrupted: 15, short_reads: 80, short_writes: 80, transient: 15 };
+const CALL_FAULTS: CallFaults = CallFaults {
+    seed: 0,
+    interrupted: 15,
+    short_reads: 80,
+    short_writes: 80,
+    transient: 15,
+    sync_delay_ms: 0,
+    sync_every: 0,
+};
 /// A process may be stopped for so long without a rule being touched.
 const HOLD_UP: Duration = Duration::from_millis(150);
 /// Beyond that it disturbs its clients for so long after it goes on.
