Apply a change before the gateway's own disk has it

changes::scenario_with_changes_breaks_no_rule failed on rule 7, 12.2 to 13.3 units over, where syncs took 400 ms longer. Callers of a volume went on at the former limit for as long as the gateway's own disk took; a change that came during that waited for both.

Cause: the applied version (two syncs and a rename), and with relays the copy of the log, were written before a change was published, and in the loop that reads the next one. With the gateway's syncs 1 s slower it acted 3.0 to 6.0 s (folder) and 4.0 s (relay) after the commit.

--- a/crates/cli/tests/sockets/changes.rs
+++ b/crates/cli/tests/sockets/changes.rs
@@ -322,6 +322,10 @@
 }
 
 /// Plans, weights and limits change at the peak of a burst and while gateways are down.
+///
+/// This failed on rule 7, 12 to 13 units over, where a machine's syncs were slow (400 ms): a gateway wrote a change to its
+/// own disk, two syncs and a rename, before it acted on it and before it read the next one. The breach named the lowered
+/// limit and nothing else around it; a gateway whose syncs took 1 s acted 3.0 s after the commit. See `slow_disks`.
 #[tokio::test(flavor = "multi_thread")]
 async fn scenario_with_changes_breaks_no_rule() {
     let text = include_str!("../../../../days/changes.star");
--- a/crates/config-log/src/applied_version.rs
+++ b/crates/config-log/src/applied_version.rs
@@ -35,10 +35,10 @@
     }
 }
 
-/// Writes the version that is about to be acted on, synced when this returns.
+/// Writes the version that is acted on, synced when this returns.
 ///
-/// Hazard: this must come before acting on it. Otherwise a crash in between would let the next run take an older log, with
-/// a limit that was lowered since.
+/// Until then a crash lets the next run take an older log, if one was put in place of the newest meanwhile. It must not be
+/// waited for before acting: a lowered limit would be open for as long as the disk takes.
 ///
 /// # Errors
 /// Those of the file system.
--- a/crates/nbd-gateway/src/changes/folder.rs
+++ b/crates/nbd-gateway/src/changes/folder.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use umbertray_config_log::Follower;
-use umbertray_config_log::follow::{AppliedVersion, FollowError};
 use umbertray_snapshot::Disk;
 
+use super::position_recorder::PositionRecorder;
 use super::publisher::{ChangePublisher, EventLoopEnded};
 use super::rate_limited::LogRateLimit;
-use super::record_applied;
 
 /// Between two reads of the folder.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -30,19 +29,22 @@
     /// Follows until the event loop ends.
     pub(super) async fn follow(mut self, publisher: &ChangePublisher) {
         let mut log_limit = LogRateLimit::default();
-        record_applied(self.applied_folder.as_deref(), &self.follower.replica);
+        let recorder = PositionRecorder::start(self.applied_folder.take());
+        recorder.record(&self.follower.replica);
         loop {
             let polling = tokio::task::spawn_blocking(move || {
-                let polled = self.poll();
+                let polled = self.follower.poll(&self.disk);
                 (self, polled)
             });
             let Ok((poller, polled)) = polling.await else { return };
             self = poller;
             match polled {
+                Ok(applied) if applied.is_empty() => {}
                 Ok(applied) => {
                     if let Err(EventLoopEnded) = publisher.publish(applied).await {
                         return;
                     }
+                    recorder.record(&self.follower.replica);
                 }
                 Err(error) if log_limit.allow() => {
                     let version = self.follower.replica.version.number;
@@ -56,12 +58,4 @@
             }
         }
     }
-
-    fn poll(&mut self) -> Result<Vec<AppliedVersion>, FollowError> {
-        let applied = self.follower.poll(&self.disk)?;
-        if !applied.is_empty() {
-            record_applied(self.applied_folder.as_deref(), &self.follower.replica);
-        }
-        Ok(applied)
-    }
 }
--- a/crates/nbd-gateway/src/changes/log_copy.rs
+++ b/crates/nbd-gateway/src/changes/log_copy.rs
@@ -4,9 +4,10 @@
 
 use umbertray_config_log::log::LogError;
 use umbertray_config_log::{LogCopy, Replica, Update};
+use umbertray_relay::position;
 use umbertray_snapshot::Disk;
 
-use super::record_applied;
+use super::position_recorder::write_position;
 
 /// The folder in a gateway's own that holds the copy.
 const COPY_FOLDER: &str = "changes";
@@ -32,8 +33,7 @@
         OpenedLog { log: DurableLog { copy, folder }, state: state.flatten() }
     }
 
-    /// Hazard: an update is copied before it is applied. Otherwise a crash in between would let the next run start from an
-    /// older state.
+    /// Appends an update, synced when this returns; `state` is the one that it follows on.
     pub(super) fn append(&mut self, update: &Update, state: Option<&Replica>) {
         let appended = self.copy.as_mut().map(|copy| copy.append(update, state));
         if let Some(Err(error)) = appended {
@@ -42,9 +42,11 @@
         }
     }
 
-    /// Records the version that is about to be applied.
+    /// Records the version that is applied, synced when this returns.
     pub(super) fn record_applied(&self, state: &Replica) {
-        record_applied(self.folder.as_deref(), state);
+        if let Some(folder) = &self.folder {
+            write_position(folder, position(state));
+        }
     }
 }
 
--- a/crates/nbd-gateway/src/changes/mod.rs
+++ b/crates/nbd-gateway/src/changes/mod.rs
@@ -2,13 +2,15 @@
 
 mod folder;
 mod log_copy;
+mod log_writer;
+mod position_recorder;
 mod publisher;
 mod rate_limited;
 mod relayed;
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use umbertray_config_log::{Follower, Replica, applied_version};
+use umbertray_config_log::{Follower, Replica};
 use umbertray_snapshot::Disk;
 
 pub(crate) use self::publisher::ChangePublisher;
@@ -50,13 +52,3 @@
         }
     }
 }
-
-/// Records the version that is about to be applied. Hazard: applied before it is recorded, a version could be followed by an
-/// older one after a crash.
-fn record_applied(folder: Option<&Path>, state: &Replica) {
-    let written = folder.map(|folder| applied_version::write(folder, state.version.number, state.hash));
-    if let Some(Err(error)) = written {
-        // An older log would be accepted after a restart.
-        tracing::error!(%error, "applied version write failed");
-    }
-}
--- a/crates/nbd-gateway/src/changes/relayed.rs
+++ b/crates/nbd-gateway/src/changes/relayed.rs
@@ -12,6 +12,7 @@
 use umbertray_store_protocol::volume_id;
 
 use super::log_copy::{DurableLog, OpenedLog};
+use super::log_writer::{AppliedUpdate, AppliedUpdates, LogWriter, WriterEnded};
 use super::publisher::{ChangePublisher, EventLoopEnded};
 use super::rate_limited::LogRateLimit;
 use crate::error::GatewayError;
@@ -49,6 +50,8 @@
 /// What a batch of updates brought.
 struct AppliedBatch {
     versions: Vec<AppliedVersion>,
+    /// The updates that led to them.
+    updates: Vec<AppliedUpdate>,
     /// The last update that could not be applied.
     corruption: Option<Corruption>,
 }
@@ -86,55 +89,56 @@
         Ok(RelayedChanges { at, source, log })
     }
 
-    /// Applies what the relays tell until the event loop ends. It writes and decodes off the runtime's own threads.
-    pub(super) async fn follow(mut self: Box<Self>, publisher: &ChangePublisher) {
+    /// Applies what the relays tell until the event loop ends. It decodes off the runtime's own threads; what is applied is
+    /// written behind it.
+    pub(super) async fn follow(self: Box<Self>, publisher: &ChangePublisher) {
         let mut log_limit = LogRateLimit::default();
+        let RelayedChanges { mut at, mut source, log } = *self;
+        let writer = LogWriter::start(log, source.applied.clone());
         loop {
             // A cancelled branch loses nothing: updates stay in their channel.
             let batch = tokio::select! {
-                batch = self.source.updates.recv() => batch,
+                batch = source.updates.recv() => batch,
                 () = publisher.event_loop_ended() => return,
             };
             let Some(batch) = batch else { return };
             let applying = tokio::task::spawn_blocking(move || {
-                let applied = self.apply(&batch);
-                (self, applied)
+                let applied = apply(&mut at, batch);
+                (at, applied)
             });
-            let Ok((changes, applied)) = applying.await else { return };
-            self = changes;
+            let Ok((state, applied)) = applying.await else { return };
+            at = state;
             if let Some(error) = applied.corruption.filter(|_| log_limit.allow()) {
-                let version = self.at.version.number;
+                let version = at.version.number;
                 tracing::error!(%error, version, "change log rejected");
             }
             if let Err(EventLoopEnded) = publisher.publish(applied.versions).await {
                 return;
             }
-            if self.source.applied.send(self.at.version.number).await.is_err() {
+            let applied = AppliedUpdates { updates: applied.updates, state: at.clone() };
+            if let Err(WriterEnded) = writer.write(applied).await {
                 return;
             }
         }
     }
+}
 
-    /// Applies the updates that are right, each after it is copied.
-    fn apply(&mut self, batch: &[Update]) -> AppliedBatch {
-        let mut applied = AppliedBatch { versions: Vec::new(), corruption: None };
-        for update in batch {
-            let before = self.at.clone();
-            match self.at.apply(update) {
-                Ok(Some(version)) => {
-                    self.log.append(update, Some(&before));
-                    applied.versions.push(version);
-                }
-                Ok(None) => {}
-                // A state further on may be right.
-                Err(corruption) => applied.corruption = Some(corruption),
+/// Applies the updates that are right.
+fn apply(state: &mut Replica, batch: Vec<Update>) -> AppliedBatch {
+    let mut applied = AppliedBatch { versions: Vec::new(), updates: Vec::new(), corruption: None };
+    for update in batch {
+        let before = state.clone();
+        match state.apply(&update) {
+            Ok(Some(version)) => {
+                applied.versions.push(version);
+                applied.updates.push(AppliedUpdate { update, before });
             }
+            Ok(None) => {}
+            // A state further on may be right.
+            Err(corruption) => applied.corruption = Some(corruption),
         }
-        if !applied.versions.is_empty() {
-            self.log.record_applied(&self.at);
-        }
-        applied
     }
+    applied
 }
 
 /// The first state that is not before `min_version`; nothing where the source has ended.
