--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -62,8 +62,10 @@
 
 fn print_findings(seed: u64, plan: &Plan, record: &Record, findings: &[Finding]) {
     output::print_line(&format!(
-        "seed {seed}: {} requests, {} attempts, {} stopped clients, {} faults, held up {} times; {} findings",
+        "seed {seed}: {} requests, {} later than 0.7 s after SIGTERM, {} endings, {} attempts, {} stopped clients, {} faults, held up {} times; {} findings",
         record.requests.len(),
+        soak::oracle::late_requests(record),
+        record.exits.len(),
         record.attempts.len(),
         record.stopped.len(),
         plan.faults.len(),
--- a/crates/fault-tests/src/soak/client.rs
+++ b/crates/fault-tests/src/soak/client.rs
@@ -17,6 +17,7 @@
 use umbertray_http::client::{self, Response, ResponseReader};
 
 use crate::soak::plan::SHARDS;
+use crate::soak::process::LONGEST_ONCE;
 use crate::soak::record::{Book, Effect, End, Request, Stopped};
 
 /// What an answer holds at most.
@@ -27,8 +28,8 @@
 const STAYS: Duration = Duration::from_secs(6);
 /// Between two requests, at most.
 const THINKS: u64 = 60;
-/// How long a client waits, in milliseconds.
-pub const LEFT: u64 = 2500;
+/// A client that repeats has this much of its time left at least, in milliseconds.
+const LEAST_LEFT: u64 = 50;
 /// One request in so many is cancelled by its client, or has less time left; one connection in so many stops in the middle of a request.
 const CANCELS: u32 = 20;
 const REPEATS: u32 = 10;
@@ -39,6 +40,8 @@
     pub gateway: u32,
     pub address: SocketAddr,
     pub book: Arc<Book>,
+    /// The longest deadline of the gateway's configuration, in milliseconds.
+    pub deadline: Arc<AtomicU64>,
     /// The next id of all clients.
     pub ids: Arc<AtomicU64>,
     pub over: watch::Receiver<bool>,
@@ -109,8 +112,14 @@
     fn draw(&self, draw: &mut StdRng) -> Drawn {
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
         let effect = if draw.random() { Effect::Free } else { Effect::Once };
+        let longest = self.deadline.load(Ordering::Relaxed);
+        let longest = match effect {
+            Effect::Free => longest,
+            Effect::Once => longest.min(LONGEST_ONCE.as_millis() as u64),
+        };
         // A repeat by its client has less of its time left.
-        let left = if draw.random_ratio(1, REPEATS) { draw.random_range(50..LEFT) } else { LEFT };
+        let is_repeat = draw.random_ratio(1, REPEATS);
+        let left = if is_repeat { draw.random_range(LEAST_LEFT..longest) } else { longest };
         let left = Duration::from_millis(left);
         let bytes = request(effect, draw.random_range(0..SHARDS), id, left);
         Drawn { id, effect, left, bytes }
--- a/crates/fault-tests/src/soak/oracle.rs
+++ b/crates/fault-tests/src/soak/oracle.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::soak::record::{Arrival, Attempt, Disturbance, Effect, End, Record, Request};
+use crate::soak::record::{Arrival, Attempt, Disturbance, Effect, End, Exit, Record, Request};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -25,8 +25,10 @@
 pub const DRAIN_GRACE: Duration = ms(1000);
 /// A change counts as told so long after discovery had it, whatever became of it.
 const TOLD_AFTER: Duration = ms(6000);
-/// SIGKILL follows SIGTERM so much later, with the soak's deadlines of 3 s and more.
-pub const KILLED_AFTER: Duration = ms(3700);
+/// The protocol page: what comes later than this after SIGTERM and is unanswered at SIGKILL is lost.
+const LATE_AFTER_TERM: Duration = ms(700);
+/// A connection that ended later than this before SIGKILL was ended by it.
+const KILL_SLACK: Duration = ms(5);
 /// What this test's own tasks and proxies add to a time.
 const OWN_SLACK: Duration = ms(60);
 
@@ -35,6 +37,8 @@
 pub enum Rule {
     /// A request had no final answer.
     Lost,
+    /// It came well after SIGTERM, on a connection that the gateway kept open, and SIGKILL found it unanswered.
+    UnansweredAtKill,
     /// It had one after its time and the slack. Timed.
     Late,
     /// It had an answer that no store made for it.
@@ -90,6 +94,18 @@
     findings
 }
 
+/// How many requests came so long after SIGTERM that SIGKILL must not find them unanswered: how often that rule was tried.
+pub fn late_requests(record: &Record) -> usize {
+    let is_late = |request: &&Request| {
+        record.exits.iter().any(|exit| {
+            let until = exit.ended.unwrap_or(exit.told + exit.kill_after);
+            exit.gateway == request.gateway
+                && (exit.told + LATE_AFTER_TERM..until).contains(&request.last_byte)
+        })
+    };
+    record.requests.iter().filter(is_late).count()
+}
+
 /// The record with what is looked up in it.
 struct Seen<'a> {
     record: &'a Record,
@@ -139,7 +155,13 @@
         if self.disturbed(gateway, &[Clients, Killed], request.first_byte, ended) {
             return;
         }
-        let draining = self.disturbed(gateway, &[Drain], request.first_byte, ended);
+        if let Some(exit) = self.killed_under(request) {
+            if last_byte >= exit.told + LATE_AFTER_TERM {
+                find(Rule::UnansweredAtKill, what(&format!("SIGTERM at {:?}, killed unanswered", exit.told)));
+            }
+            return;
+        }
+        let draining = self.disturbed(gateway, &[Drain, Disturbance::Crowd], request.first_byte, ended);
         match request.end {
             End::Answered { status: 200, own: false } => find(Rule::Mismatch, what("another answer")),
             End::Answered { .. } => {
@@ -159,6 +181,19 @@
         }
     }
 
+    /// The exit whose SIGKILL ended a request's connection.
+    fn killed_under(&self, request: &Request) -> Option<&Exit> {
+        let is_open = matches!(request.end, End::Closed | End::Silent);
+        self.record.exits.iter().find(|exit| {
+            let killed = exit.told + exit.kill_after;
+            is_open
+                && exit.gateway == request.gateway
+                && exit.ended.is_none()
+                && request.last_byte <= killed
+                && request.ended + KILL_SLACK >= killed
+        })
+    }
+
     fn duplicates(&self, find: &mut Find) {
         for (id, arrivals) in &self.ran {
             let once = self.requests.get(id).is_some_and(|request| request.effect == Effect::Once);
@@ -233,8 +268,8 @@
     fn processes(&self, find: &mut Find) {
         self.record.crashes.iter().for_each(|crash| find(Rule::Crash, crash.clone()));
         for exit in &self.record.exits {
-            let held_up =
-                self.disturbed(exit.gateway, &[Disturbance::Clients], exit.told, exit.told + KILLED_AFTER);
+            let killed = exit.told + exit.kill_after;
+            let held_up = self.disturbed(exit.gateway, &[Disturbance::Clients], exit.told, killed);
             match exit.ended {
                 Some(_) if exit.success => {}
                 None if held_up => {}
--- a/crates/fault-tests/src/soak/plan.rs
+++ b/crates/fault-tests/src/soak/plan.rs
@@ -14,6 +14,8 @@
 pub const STORES_A_SHARD: u32 = 2;
 /// Faults begin after so long of quiet, and the last ones are over so long before the end.
 const QUIET: Duration = Duration::from_millis(700);
+/// One seed in so many has crowds of clients.
+const CROWD_SEEDS: u64 = 3;
 /// Faults for each gateway and ten seconds.
 const FAULTS_A_GATEWAY: f64 = 10.0;
 
@@ -25,6 +27,34 @@
     Store(u32),
 }
 
+/// What comes with a SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Nothing.
+    Plain,
+    /// A right configuration and SIGHUP just before.
+    ReloadBefore,
+    /// The same just after.
+    ReloadAfter,
+    /// A second SIGTERM.
+    Twice,
+    /// SIGSTOP around it, for as long as a gateway may be held up.
+    Stopped,
+    /// The next start is told to end as well, before it is ready.
+    BeforeReady,
+}
+
+const ENDINGS: [Ending; 8] = [
+    Ending::Plain,
+    Ending::Plain,
+    Ending::Plain,
+    Ending::ReloadBefore,
+    Ending::ReloadAfter,
+    Ending::Twice,
+    Ending::Stopped,
+    Ending::BeforeReady,
+];
+
 /// What happens to a gateway, a link or a store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -37,19 +67,24 @@
     Stop {
         gateway: u32,
     },
-    /// SIGTERM, and a new start after its end.
+    /// SIGTERM among other signals, SIGKILL at the page's earliest, and a new start.
     Restart {
         gateway: u32,
+        ending: Ending,
     },
-    /// SIGKILL, and a new start.
+    /// SIGKILL, and a new start on the same port.
     Kill {
         gateway: u32,
     },
-    /// A configuration of this number, right or wrong, and SIGHUP.
+    /// Up to three configurations from this number on, right or wrong, each with SIGHUP.
     Configure {
         gateway: u32,
         number: u32,
     },
+    /// Idle clients and such with half a request, more than the descriptors suffice for.
+    Crowd {
+        gateway: u32,
+    },
     /// A store answers nothing while it lasts.
     StoreHangs {
         store: u32,
@@ -106,13 +141,14 @@
     /// Draws the faults of a seed.
     pub fn draw(seed: u64, gateways: u32, lasts: Duration) -> Plan {
         let mut draw = StdRng::seed_from_u64(seed);
+        let crowds = seed.is_multiple_of(CROWD_SEEDS);
         let count = (f64::from(gateways) * FAULTS_A_GATEWAY * lasts.as_secs_f64() / 10.0).ceil() as usize;
         let latest = lasts.saturating_sub(3 * QUIET);
         let mut faults: Vec<Planned> = (0..count)
             .map(|number| {
                 let at = draw.random_range(QUIET..latest.max(QUIET + Duration::from_millis(1)));
                 let longest = lasts.saturating_sub(at + QUIET);
-                let fault = fault(&mut draw, gateways, number as u32);
+                let fault = fault(&mut draw, gateways, number as u32, crowds);
                 Planned { at, lasts: span(&mut draw, fault).min(longest), fault }
             })
             .collect();
@@ -121,14 +157,16 @@
     }
 }
 
-fn fault(draw: &mut StdRng, gateways: u32, number: u32) -> Fault {
+fn fault(draw: &mut StdRng, gateways: u32, number: u32, crowds: bool) -> Fault {
     let (gateway, store) = (draw.random_range(0..gateways), draw.random_range(0..SHARDS * STORES_A_SHARD));
     match draw.random_range(0..20) {
         0..9 => Fault::Link { gateway, link: link(draw, store), fault: link_fault(draw) },
         9..11 => Fault::Stop { gateway },
-        11..13 => Fault::Restart { gateway },
+        11..13 => Fault::Restart { gateway, ending: *ENDINGS.choose(draw).unwrap_or(&Ending::Plain) },
         13 => Fault::Kill { gateway },
-        14..16 => Fault::Configure { gateway, number },
+        14 => Fault::Configure { gateway, number },
+        15 if crowds => Fault::Crowd { gateway },
+        15 => Fault::Configure { gateway, number },
         16 => Fault::StoreHangs { store },
         17 => Fault::StoreFails { store, unrun: draw.random() },
         18 => Fault::StoreCloses { store },
--- a/crates/fault-tests/src/soak/process.rs
+++ b/crates/fault-tests/src/soak/process.rs
@@ -16,18 +16,46 @@
 /// How long a process may take to say where it listens.
 const START: Duration = Duration::from_secs(10);
 
+/// Longest deadlines, shorter and longer than what SIGKILL waits for at most.
+const DEADLINES: [Duration; 8] = [
+    Duration::from_millis(300),
+    Duration::from_secs(3),
+    Duration::from_millis(600),
+    Duration::from_secs(6),
+    Duration::from_secs(1),
+    Duration::from_secs(30),
+    Duration::from_secs(2),
+    Duration::from_secs(12),
+];
+/// The deadline of ops that run once is this at most.
+pub const LONGEST_ONCE: Duration = Duration::from_secs(3);
+/// The latency objective is this at most, or half of the deadline.
+const LONGEST_OBJECTIVE_S: f64 = 0.4;
+
+/// The longest deadline of the configuration of this number.
+pub fn deadline(number: u32) -> Duration {
+    DEADLINES[number as usize % DEADLINES.len()]
+}
+
+/// Whether [`reconfiguration`] of this number can be read.
+pub fn is_right(number: u32) -> bool {
+    number % 5 < 3
+}
+
 /// The configuration of this number: each has other deadlines and idle times.
-pub fn configuration(name: &str, discovery: SocketAddr, number: u32) -> String {
-    let deadline = [3.0, 6.0, 12.0, 30.0][number as usize % 4];
+pub fn configuration(name: &str, listen: SocketAddr, discovery: SocketAddr, number: u32) -> String {
+    let deadline = deadline(number).as_secs_f64();
+    let once = deadline.min(LONGEST_ONCE.as_secs_f64());
+    let objective = LONGEST_OBJECTIVE_S.min(deadline / 2.0);
     let idle = [20.0, 2.0, 6.0][number as usize % 3];
     format!(
-        r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0f",
+        r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"0f",
         "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{{"rev":0,"all":true,"targets":[]}},
         "settings":{{"discovery":"automatic","failureDomains":["a"],"groupSize":1,
         "familyInfo":{{"coldUnits":400.0,"maxUnits":6,"meanUnits":2.0,"slotsTotal":{SHARDS},"writes":[false,true]}},
         "limits":{{"connIdleS":{idle:.1},"dialTimeoutS":0.25,"maxAttempts":3,"maxRetryAfterS":1.0}},
-        "profiles":[{{"name":"look","promiseS":0.4,"deadlineS":{deadline:.1},"effect":"free","gain":3.0}},
-        {{"name":"order","promiseS":0.4,"deadlineS":3.0,"effect":"single_shot","gain":3.0}}],
+        "profiles":[{{"name":"look","promiseS":{objective},"deadlineS":{deadline:.1},"effect":"free","gain":3.0}},
+        {{"name":"order","promiseS":{objective},"deadlineS":{once:.1},"effect":"single_shot","gain":3.0}}],
         "contracts":[{{"name":"basic","rate":5000.0,"weight":1.0}}],
         "rules":{{"coldFrom":0.5,"coldS":1.0,"drainGraceS":1.0,"fallS":1.0,"tipMultiple":2.0}},
         "telemetry":{{"fields":["util"],"via":"answers"}},"tickS":0.002}}}}"#
@@ -35,8 +63,8 @@
 }
 
 /// The same, and some of them wrong: as a writer that was interrupted leaves it, or with settings that cannot be read.
-pub fn reconfiguration(name: &str, discovery: SocketAddr, number: u32) -> String {
-    let text = configuration(name, discovery, number);
+pub fn reconfiguration(name: &str, listen: SocketAddr, discovery: SocketAddr, number: u32) -> String {
+    let text = configuration(name, listen, discovery, number);
     match number % 5 {
         3 => text[..text.len() / 2].to_string(),
         4 => text.replace(r#""dialTimeoutS":0.25"#, r#""dialTimeoutS":"soon""#),
@@ -58,12 +86,12 @@
         program: &Path,
         folder: &Path,
         name: &str,
-        discovery: SocketAddr,
+        (listen, discovery): (SocketAddr, SocketAddr),
         number: u32,
         environment: &[(&str, String)],
     ) -> io::Result<Process> {
         let (config, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
-        std::fs::write(&config, configuration(name, discovery, number))?;
+        std::fs::write(&config, configuration(name, listen, discovery, number))?;
         let errors = std::fs::OpenOptions::new().create(true).append(true).open(&log)?;
         let mut child = Command::new(program)
             .args(["--log", "json", "--log-level", "info,umbertray_http_gateway=debug", "node"])
--- a/crates/fault-tests/src/soak/record.rs
+++ b/crates/fault-tests/src/soak/record.rs
@@ -88,6 +88,8 @@
     Drain,
     /// It was killed, until it was ready again.
     Killed,
+    /// A crowd of clients filled its descriptors: new connections may be shut unread.
+    Crowd,
 }
 
 /// A disturbance in its time.
@@ -104,6 +106,8 @@
 pub struct Exit {
     pub gateway: u32,
     pub told: Duration,
+    /// SIGKILL came so long after SIGTERM, if it had not ended by then.
+    pub kill_after: Duration,
     /// Nothing: it had not within the time to SIGKILL.
     pub ended: Option<Duration>,
     pub success: bool,
--- a/crates/fault-tests/src/soak/stage.rs
+++ b/crates/fault-tests/src/soak/stage.rs
@@ -17,10 +17,9 @@
 use umbertray_fakes::shim::{self, CallFaults};
 use umbertray_http::server::Request as StoreRequest;
 
-use crate::soak::client::{Client, LEFT, request};
-use crate::soak::oracle::KILLED_AFTER;
-use crate::soak::plan::{Fault, Link, Plan, Planned, SHARDS, STORES_A_SHARD};
-use crate::soak::process::{Process, reconfiguration};
+use crate::soak::client::{Client, request};
+use crate::soak::plan::{Ending, Fault, Link, Plan, Planned, SHARDS, STORES_A_SHARD};
+use crate::soak::process::{Process, deadline, is_right, reconfiguration};
 use crate::soak::record::{Arrival, Attempt, Book, Disturbance, Drained, Effect, Exit, Record, Window};
 
 const CLIENTS_A_GATEWAY: u64 = 4;
@@ -36,6 +35,16 @@
 };
 /// A process may be stopped for so long without a rule being touched.
 const HOLD_UP: Duration = Duration::from_millis(150);
+/// The protocol page: SIGKILL comes this much after the longest deadline, which counts as [`LONGEST_WAIT`] where it is longer.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// A configuration may not be in force for so long after its SIGHUP.
+const RELOAD_TIME: Duration = Duration::from_millis(500);
+/// Between two signals of a series.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(20);
+/// A crowd: idle clients, and such with half a request; together more than a gateway's descriptors.
+const CROWD_IDLE: usize = 220;
+const CROWD_HALF: usize = 60;
 /// Beyond that it disturbs its clients for so long after it goes on.
 const CATCH_UP: Duration = Duration::from_millis(300);
 /// This test's own clock ticks so often.
@@ -47,6 +56,13 @@
 /// The list says for so long that a store is gone.
 const GONE: Duration = Duration::from_millis(500);
 
+/// Right configurations that are loaded around a SIGTERM, with shorter and longer deadlines.
+const RELOAD_NUMBERS: [u32; 4] = [0, 1, 5, 10];
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 /// What a store does with what it gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
@@ -74,6 +90,10 @@
 struct GatewayEnd {
     number: u32,
     process: AsyncMutex<Process>,
+    /// The longest deadline of its configuration, in milliseconds.
+    deadline: Arc<AtomicU64>,
+    /// The one before, and when it was replaced.
+    former_deadline: Mutex<(Duration, Duration)>,
     discovery: Discovery,
     clients: Proxy,
     to_discovery: Proxy,
@@ -225,18 +245,29 @@
             to_stores.push(proxy);
         }
         let to_discovery = Proxy::start(Some(discovery.address), None).await?;
-        let process = self.start(number, to_discovery.address).await?;
+        let process = self.start(number, any_port(), to_discovery.address).await?;
         let clients = Proxy::start(Some(process.address), None).await?;
         let process = AsyncMutex::new(process);
-        Ok(GatewayEnd { number, process, discovery, clients, to_discovery, to_stores })
+        let deadline = Arc::new(AtomicU64::new(deadline(number).as_millis() as u64));
+        let former_deadline = Mutex::default();
+        Ok(GatewayEnd {
+            number,
+            process,
+            deadline,
+            former_deadline,
+            discovery,
+            clients,
+            to_discovery,
+            to_stores,
+        })
     }
 
-    async fn start(&self, number: u32, discovery: SocketAddr) -> io::Result<Process> {
+    async fn start(&self, number: u32, listen: SocketAddr, discovery: SocketAddr) -> io::Result<Process> {
         Process::start(
             &self.program,
             &self.folder,
             &format!("g{number}"),
-            discovery,
+            (listen, discovery),
             number,
             &self.environment(number),
         )
@@ -256,6 +287,7 @@
                     gateway: gateway.number,
                     address: gateway.clients.address,
                     book: self.book.clone(),
+                    deadline: gateway.deadline.clone(),
                     ids: self.ids.clone(),
                     over: over.clone(),
                     seed: seed ^ (u64::from(gateway.number) << 32 | (place + 1)),
@@ -276,8 +308,9 @@
         match fault {
             Fault::Link { gateway, link, fault } => self.disturb_link(gateway, link, fault, lasts).await,
             Fault::Stop { gateway } => self.stop(gateway, lasts).await,
-            Fault::Restart { gateway } => self.restart(gateway, false).await,
-            Fault::Kill { gateway } => self.restart(gateway, true).await,
+            Fault::Restart { gateway, ending } => self.restart(gateway, ending).await,
+            Fault::Kill { gateway } => self.kill(gateway).await,
+            Fault::Crowd { gateway } => self.crowd(gateway, lasts).await,
             Fault::Configure { gateway, number } => self.configure(gateway, number).await,
             Fault::StoreHangs { store } => self.store_is(store, Mode::Hangs, lasts).await,
             Fault::StoreFails { store, unrun } => {
@@ -318,41 +351,104 @@
         }
     }
 
-    async fn restart(&self, gateway: u32, kill: bool) {
+    /// SIGTERM with what comes with it, and a new start.
+    async fn restart(&self, gateway: u32, ending: Ending) {
         let end = &self.gateways[gateway as usize];
         let mut process = end.process.lock().await;
-        if let Some(status) = process.crashed() {
-            self.crash(format!("gateway {gateway} ended unasked: {status}"));
-        }
+        self.check_alive(gateway, &mut process);
         let told = self.book.now();
-        if !kill {
-            self.terminate(gateway, &mut process).await;
+        self.terminate(end, &mut process, ending).await;
+        process.kill().await;
+        self.complain(&process);
+        self.start_again(end, any_port(), &mut process).await;
+        if ending == Ending::BeforeReady {
+            self.terminate(end, &mut process, Ending::Plain).await;
+            process.kill().await;
+            self.complain(&process);
+            self.start_again(end, any_port(), &mut process).await;
         }
+        self.await_ready(end).await;
+        drop(process);
+        self.disturbed(gateway, Disturbance::Drain, told);
+    }
+
+    /// SIGKILL, and a new start on the same port.
+    async fn kill(&self, gateway: u32) {
+        let end = &self.gateways[gateway as usize];
+        let mut process = end.process.lock().await;
+        self.check_alive(gateway, &mut process);
+        let told = self.book.now();
         process.kill().await;
         self.complain(&process);
-        match self.start(gateway, end.to_discovery.address).await {
+        let address = process.address;
+        self.start_again(end, address, &mut process).await;
+        self.await_ready(end).await;
+        drop(process);
+        self.disturbed(gateway, Disturbance::Killed, told);
+    }
+
+    fn check_alive(&self, gateway: u32, process: &mut Process) {
+        if let Some(status) = process.crashed() {
+            self.crash(format!("gateway {gateway} ended unasked: {status}"));
+        }
+    }
+
+    async fn start_again(&self, end: &GatewayEnd, listen: SocketAddr, process: &mut Process) {
+        match self.start(end.number, listen, end.to_discovery.address).await {
             Ok(next) => {
                 end.clients.lead_to(Some(next.address));
                 *process = next;
+                end.set_deadline(deadline(end.number), self.book.now());
             }
-            Err(error) => self.crash(format!("gateway {gateway} did not start: {error}")),
+            Err(error) => self.crash(format!("gateway {} did not start: {error}", end.number)),
         }
-        // The next fault of this process waits until it is ready: told to end before that, it never says so.
+    }
+
+    /// The next fault of this process waits until it is ready.
+    async fn await_ready(&self, end: &GatewayEnd) {
         if let Err(error) = self.ready(end).await {
-            self.crash(format!("gateway {gateway} was not ready after its restart: {error}"));
+            self.crash(format!("gateway {} was not ready after its restart: {error}", end.number));
         }
-        drop(process);
-        let disturbance = if kill { Disturbance::Killed } else { Disturbance::Drain };
-        self.disturbed(gateway, disturbance, told);
     }
 
     async fn configure(&self, gateway: u32, number: u32) {
         let end = &self.gateways[gateway as usize];
         let process = end.process.lock().await;
-        let text = reconfiguration(&format!("g{gateway}"), end.to_discovery.address, number);
+        for number in number..=number + number % 3 {
+            self.reload(end, &process, number);
+            sleep(SIGNAL_INTERVAL).await;
+        }
+    }
+
+    /// Writes a configuration and sends SIGHUP.
+    fn reload(&self, end: &GatewayEnd, process: &Process, number: u32) {
+        let name = format!("g{}", end.number);
+        let text = reconfiguration(&name, process.address, end.to_discovery.address, number);
         if process.configure(&text).is_ok() {
             process.signal(Signal::SIGHUP);
+            if is_right(number) {
+                end.set_deadline(deadline(number), self.book.now());
+            }
+        }
+    }
+
+    /// More clients than a gateway has descriptors for: idle ones, and such that have sent half a request.
+    async fn crowd(&self, gateway: u32, lasts: Duration) {
+        use tokio::io::AsyncWriteExt;
+        let end = &self.gateways[gateway as usize];
+        let from = self.book.now();
+        let mut crowd = Vec::new();
+        for place in 0..CROWD_IDLE + CROWD_HALF {
+            let Ok(mut stream) = tokio::net::TcpStream::connect(end.clients.address).await else { break };
+            if place < CROWD_HALF {
+                _ = stream.write_all(b"GET /look/").await;
+            }
+            crowd.push(stream);
         }
+        sleep(lasts).await;
+        drop(crowd);
+        sleep(CATCH_UP).await;
+        self.disturbed(gateway, Disturbance::Crowd, from);
     }
 
     async fn store_is(&self, store: u32, mode: Mode, lasts: Duration) {
@@ -415,7 +511,8 @@
         let served = async {
             loop {
                 let id = self.ids.fetch_add(1, Ordering::Relaxed);
-                if self.answers(end, &request(Effect::Free, 0, id, Duration::from_millis(LEFT))).await {
+                let left = Duration::from_millis(end.deadline.load(Ordering::Relaxed));
+                if self.answers(end, &request(Effect::Free, 0, id, left)).await {
                     return;
                 }
                 sleep(Duration::from_millis(20)).await;
@@ -444,16 +541,54 @@
         if let Some(status) = process.crashed() {
             return self.crash(format!("gateway {} ended unasked: {status}", end.number));
         }
-        self.terminate(end.number, &mut process).await;
+        self.terminate(end, &mut process, Ending::Plain).await;
         self.complain(&process);
     }
 
-    async fn terminate(&self, gateway: u32, process: &mut Process) {
+    /// SIGTERM with what comes with it; SIGKILL is the caller's, at the page's earliest, where it has not ended by then.
+    async fn terminate(&self, end: &GatewayEnd, process: &mut Process, ending: Ending) {
+        let right = RELOAD_NUMBERS[end.number as usize % RELOAD_NUMBERS.len()];
+        match ending {
+            Ending::ReloadBefore => self.reload(end, process, right),
+            Ending::Stopped => process.signal(Signal::SIGSTOP),
+            _ => {}
+        }
         let told = self.book.now();
+        let kill_after = end.longest_deadline(told).min(LONGEST_WAIT) + KILL_MARGIN;
         process.signal(Signal::SIGTERM);
-        let success = process.ended(KILLED_AFTER).await;
+        match ending {
+            Ending::ReloadAfter => self.reload(end, process, right),
+            Ending::Twice => {
+                sleep(SIGNAL_INTERVAL).await;
+                process.signal(Signal::SIGTERM);
+            }
+            Ending::Stopped => {
+                sleep(HOLD_UP).await;
+                process.signal(Signal::SIGCONT);
+            }
+            _ => {}
+        }
+        let left = (told + kill_after).saturating_sub(self.book.now());
+        let success = process.ended(left).await;
         let ended = success.map(|_| self.book.now());
-        let exit = Exit { gateway, told, ended, success: success.unwrap_or_default() };
+        let success = success.unwrap_or_default();
+        let exit = Exit { gateway: end.number, told, kill_after, ended, success };
         self.book.write(|record| record.exits.push(exit));
     }
 }
+
+impl GatewayEnd {
+    fn set_deadline(&self, deadline: Duration, now: Duration) {
+        let former = self.deadline.swap(deadline.as_millis() as u64, Ordering::Relaxed);
+        if let Ok(mut former_deadline) = self.former_deadline.lock() {
+            *former_deadline = (Duration::from_millis(former), now);
+        }
+    }
+
+    /// The longest deadline that may be in force: just after a reload that may be the former one.
+    fn longest_deadline(&self, now: Duration) -> Duration {
+        let deadline = Duration::from_millis(self.deadline.load(Ordering::Relaxed));
+        let former = self.former_deadline.lock().map(|former| *former).unwrap_or_default();
+        if now.saturating_sub(former.1) < RELOAD_TIME { deadline.max(former.0) } else { deadline }
+    }
+}
--- a/crates/fault-tests/tests/soak_oracle.rs
+++ b/crates/fault-tests/tests/soak_oracle.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use umbertray_fault_tests::soak::oracle::{Rule, judge};
+use umbertray_fault_tests::soak::oracle::{Rule, judge, late_requests};
 use umbertray_fault_tests::soak::plan::Plan;
 use umbertray_fault_tests::soak::record::{
     Arrival, Attempt, Disturbance, Drained, Effect, End, Exit, Record, Request, Stopped, Window,
@@ -121,7 +121,7 @@
     assert_eq!(rules(&stopped(Some(4200))), [Rule::BadClient]);
     assert_eq!(rules(&stopped(None)), [Rule::BadClient]);
     let exit = |ended: Option<u64>, success| Record {
-        exits: vec![Exit { gateway: 0, told: ms(1000), ended: ended.map(ms), success }],
+        exits: vec![Exit { gateway: 0, told: ms(1000), kill_after: ms(3700), ended: ended.map(ms), success }],
         ..Record::default()
     };
     assert_eq!(rules(&exit(Some(4000), true)), []);
@@ -141,3 +141,38 @@
     let overlap = faults.windows(2).filter(|pair| pair[1].at < pair[0].at + pair[0].lasts).count();
     assert!(overlap > faults.len() / 2, "{overlap} of {}", faults.len());
 }
+
+/// SIGTERM at 1.0 s and SIGKILL at 2.0 s, which ended the request's connection.
+fn killed_under(last_byte: u64, ended: u64, end: End) -> Record {
+    let last_byte = ms(last_byte);
+    let request = Request { first_byte: last_byte, last_byte, end, ended: ms(ended), fresh: false, ..SERVED };
+    let exit = Exit { gateway: 0, told: ms(1000), kill_after: ms(1000), ended: None, success: false };
+    // Its link to its clients was disturbed at some time, so that the late exit alone is no finding.
+    let window = Window { gateway: 0, disturbance: Disturbance::Clients, from: ms(1010), to: ms(1020) };
+    Record { exits: vec![exit], windows: vec![window], attempts: Vec::new(), ..one(request) }
+}
+
+#[test]
+fn request_well_after_sigterm_that_sigkill_finds_unanswered_is_lost() {
+    let cases = [
+        ("well after SIGTERM", killed_under(1750, 2001, End::Closed), vec![Rule::UnansweredAtKill]),
+        ("silent until then", killed_under(1750, 2001, End::Silent), vec![Rule::UnansweredAtKill]),
+        ("soon after SIGTERM", killed_under(1690, 2001, End::Closed), vec![]),
+        ("closed by the gateway before", killed_under(1750, 1900, End::Closed), vec![]),
+        ("answered", killed_under(1750, 1900, End::Answered { status: 503, own: false }), vec![]),
+    ];
+    for (name, record, broken) in cases {
+        assert_eq!(rules(&record), broken, "{name}");
+    }
+    assert_eq!(late_requests(&killed_under(1750, 2001, End::Closed)), 1);
+    assert_eq!(late_requests(&killed_under(1690, 2001, End::Closed)), 0);
+}
+
+#[test]
+fn crowd_excuses_new_connections_shut_unread_and_nothing_else() {
+    let crowd = Window { gateway: 0, disturbance: Disturbance::Crowd, from: ms(900), to: ms(1200) };
+    let shut = Request { end: End::Closed, ..SERVED };
+    let unread = Record { attempts: Vec::new(), windows: vec![crowd.clone()], ..one(shut.clone()) };
+    assert_eq!(rules(&unread), vec![]);
+    assert_eq!(rules(&Record { windows: vec![crowd], ..one(shut) }), vec![Rule::Lost]);
+}
