Recognise a change that is sent again under its id without its base

config apply --id X, sent again as typed after 'whether the change is done is not known', was refused as another change (status 2), and config import --id X with 'there is a log already'. Callers could not tell whether the change was done.

A change under a remembered id is written from the version that it was committed from. Test: change_sent_again_under_its_id_is_done_once, seen to fail before; another change under a taken id is still refused in it.

--- a/crates/cli/src/config/write.rs
+++ b/crates/cli/src/config/write.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use umbertray_config_log::change::Change;
-use umbertray_config_log::log::{self, Log, SEGMENT_BYTES};
+use umbertray_config_log::log::{self, Log, LogError, SEGMENT_BYTES};
 use umbertray_config_log::model::Fields;
 use umbertray_config_log::{Configuration, Edit, Path, SettingsChange};
 use umbertray_snapshot::Disk;
@@ -22,10 +22,11 @@
 pub(super) fn import(file: &File, log: &LogArguments, author: AuthorArguments) -> Result<(), ConfigError> {
     let wanted = read_script(file)?;
     let mut opened = open(&log.changes)?;
-    if opened.head().number > 0 {
+    let is_sent_again = former_base(&opened, &author)? == Some(0);
+    if opened.head().number > 0 && !is_sent_again {
         return Err(ConfigError::LogExists { folder: log.changes.clone() });
     }
-    let edits = opened.head().configuration.diff(&wanted);
+    let edits = Configuration::default().diff(&wanted);
     commit(&mut opened, log, new_change(author, 0, edits, &[]))
 }
 
@@ -35,14 +36,16 @@
     author: AuthorArguments,
 ) -> Result<(), ConfigError> {
     let mut opened = open(&log.changes)?;
-    let edits = parse_edits(arguments, &opened)?;
-    let base = arguments.base.unwrap_or(opened.head().number);
+    // Hazard: without a base of its own a change that is sent again would be another one, written from a later version.
+    let base = arguments.base.map_or_else(|| former_base(&opened, &author), |base| Ok(Some(base)))?;
+    let edits = parse_edits(arguments, base, &opened)?;
+    let base = base.unwrap_or(opened.head().number);
     commit(&mut opened, log, new_change(author, base, edits, &arguments.allow))
 }
 
 pub(super) fn plan(arguments: &ChangeArguments, log: &LogArguments) -> Result<(), ConfigError> {
     let opened = open(&log.changes)?;
-    let edits = parse_edits(arguments, &opened)?;
+    let edits = parse_edits(arguments, arguments.base, &opened)?;
     let head = opened.head();
     let base = arguments.base.unwrap_or(head.number);
     for edit in &edits {
@@ -87,6 +90,12 @@
     Ok(Log::open(Box::new(disk), SEGMENT_BYTES)?)
 }
 
+/// The version that a change was written from that was committed under the author's id.
+fn former_base(opened: &Log, author: &AuthorArguments) -> Result<Option<u64>, ConfigError> {
+    let base = author.id.as_deref().map(|id| opened.base_of(id)).transpose();
+    Ok(base.map_err(LogError::Disk)?.flatten())
+}
+
 fn commit(opened: &mut Log, log: &LogArguments, change: Change) -> Result<(), ConfigError> {
     let committed = opened.commit(change)?;
     print::commit(log, committed.version, committed.was_committed_before);
@@ -110,10 +119,10 @@
 }
 
 /// The edits that the arguments describe, in the order script, set, put, remove.
-fn parse_edits(arguments: &ChangeArguments, log: &Log) -> Result<Vec<Edit>, ConfigError> {
+fn parse_edits(arguments: &ChangeArguments, base: Option<u64>, log: &Log) -> Result<Vec<Edit>, ConfigError> {
     let mut edits = Vec::new();
     if let Some(file) = &arguments.file {
-        edits.extend(script_edits(file, arguments.base, log)?);
+        edits.extend(script_edits(file, base, log)?);
     }
     for argument in &arguments.set {
         edits.push(Edit::set(argument).map_err(|error| ConfigError::InvalidSet(error.to_string()))?);
--- a/crates/cli/tests/sockets/changes.rs
+++ b/crates/cli/tests/sockets/changes.rs
@@ -321,6 +321,47 @@
     fails(&with_author(&["apply", "--set", "plan/free:weight=3"]), 5, ".log:");
 }
 
+/// A change whose end is not known is sent again as it was typed: under its id it is done once. It was refused as another
+/// change, since the version that it is written from, where none is named, was the newest of each moment.
+#[test]
+fn change_sent_again_under_its_id_is_done_once() {
+    let folder = empty_folder("again");
+    let changes = folder.join("changes");
+    let says = |arguments: &[&str], what: &str| {
+        let ended = run_config(&[arguments, &AUTHOR].concat(), &changes);
+        let stdout = String::from_utf8_lossy(&ended.stdout).into_owned();
+        let stderr = String::from_utf8_lossy(&ended.stderr);
+        assert!(ended.status.success() && stdout.contains(what), "{arguments:?}: {stdout}{stderr}");
+    };
+    let write = |name: &str, text: &str| {
+        let file = folder.join(name);
+        std::fs::write(&file, text).expect("room");
+        file.to_str().expect("UTF-8").to_string()
+    };
+    let shared = write("shared.star", SHARED);
+    let import = ["import", &shared, "--id", "first"];
+    says(&import, "version 1");
+    says(&import, "version 1, done before");
+    let set = ["apply", "--set", "plan/free:weight=2", "--id", "set"];
+    says(&set, "version 2");
+    says(&set, "version 2, done before");
+    let heavier = write(
+        "heavier.star",
+        &SHARED.replace(r#"plan("free", rate = 1000)"#, r#"plan("free", rate = 1000, weight = 3)"#),
+    );
+    let script = ["apply", &heavier, "--id", "script"];
+    says(&script, "version 3");
+    // Another change comes in between.
+    says(&["apply", "--set", "plan/free:weight=4"], "version 4");
+    says(&script, "version 3, done before");
+    says(&set, "version 2, done before");
+    let ended = run_config(
+        &[&["apply", "--set", "plan/free:weight=9", "--id", "set"][..], &AUTHOR].concat(),
+        &changes,
+    );
+    assert_eq!(ended.status.code(), Some(2), "another change under an id that is taken");
+}
+
 /// Plans, weights and limits change at the peak of a burst and while gateways are down.
 ///
 /// This failed on rule 7, 12 to 13 units over, where a machine's syncs were slow (400 ms): a gateway wrote a change to its
--- a/crates/config-log/src/log.rs
+++ b/crates/config-log/src/log.rs
@@ -149,6 +149,18 @@
         if conflicts.is_empty() { Ok(()) } else { Err(ChangeRejected::Conflict(conflicts)) }
     }
 
+    /// The version that a change was written from that was committed under this id, if it is remembered and its segment is
+    /// there.
+    ///
+    /// # Errors
+    /// Those of the file system, and of a log that is damaged.
+    pub fn base_of(&self, id: &str) -> io::Result<Option<u64>> {
+        let Some(completed) = self.by_id.get(id) else { return Ok(None) };
+        let since = self.history(completed.version - 1)?;
+        let committed = since.into_iter().find(|committed| committed.version == completed.version);
+        Ok(committed.map(|committed| committed.change.base))
+    }
+
     /// Commits a change on the newest version, or nothing of it. One that was committed before under its id is not
     /// committed again.
     ///
