Correct the recorded example that held the refusal of a repeated change

The example was wrong, since the id is there so that the same change can be sent again.

No other line changed.

--- a/crates/cli/tests/golden.rs
+++ b/crates/cli/tests/golden.rs
@@ -60,6 +60,8 @@
     let apply = [&["config", "apply", "--set", "plan/free:weight=12"][..], &who].concat();
     transcript.push_str(&printed(&apply, folder));
     transcript.push_str(&printed(&apply, folder));
+    let other = [&["config", "apply", "--set", "plan/free:weight=13"][..], &who].concat();
+    transcript.push_str(&printed(&other, folder));
     transcript.push_str(&printed(&[&["config", "revert", "12"][..], &who[..4], &who[6..]].concat(), folder));
     for command in ["show", "verify", "export"] {
         transcript.push_str(&printed(&["state", command, file], file));
