Start the bucket of a volume that is restored by virtual times alone empty

Cause: Quotas::register made its record with the time at the clock's zero, and the bucket filled from there.

The scheduler's tests pass.

--- a/src/scheduler/quota.rs
+++ b/src/scheduler/quota.rs
@@ -176,9 +176,10 @@
         self.volumes.get_mut(&id)
     }
 
-    /// Notes a volume that a snapshot names.
-    pub(super) fn register(&mut self, id: VolumeId) {
-        self.volumes.entry(id).or_default();
+    /// Notes a volume that a snapshot names. Hazard: its bucket fills from now on; from the clock's zero on it would be full,
+    /// and an earlier run may have drawn it.
+    pub(super) fn register(&mut self, id: VolumeId, now: Duration) {
+        self.volumes.entry(id).or_insert_with(|| VolumeQuota::new(now));
     }
 
     /// The volume is of this plan, through so many gateways, from now on. If it is new, its bucket fills from
--- a/src/scheduler/snapshot.rs
+++ b/src/scheduler/snapshot.rs
@@ -57,7 +57,7 @@
         store.limit.restore(snapshot.concurrency_limit, trust);
         for (volume, virtual_time) in snapshot.virtual_times {
             store.queues.restore(volume, trust * virtual_time, initial_latency, self.now);
-            self.quotas.register(volume);
+            self.quotas.register(volume, self.now);
         }
     }
 }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -552,6 +552,25 @@
     assert!((5..12).contains(&cap(30_000)), "{}", cap(30_000));
 }
 
+/// A snapshot may name a volume in a store's virtual times alone, as a state that was cut short does. Its bucket filled from
+/// the clock's zero on, so that it started full: the part that an earlier run may have drawn was there twice.
+#[test]
+fn volume_restored_by_virtual_times_alone_starts_with_an_empty_bucket() {
+    let mut fleet = one_store();
+    fleet.advance(ms(10_000));
+    fleet.restart(0);
+    let memory = StoreSnapshot {
+        store: StoreId(0),
+        latency: 0.01,
+        concurrency_limit: 24.0,
+        virtual_times: vec![(VolumeId(1), 50.0)],
+    };
+    let (age, promise_duration) = (Some(ms(0)), ms(0));
+    fleet.deliver(0, vec![Event::Restore { age, promise_duration, stores: vec![memory], volumes: vec![] }]);
+    (0..20).for_each(|id| fleet.submit(0, Op { plan: 1, gateways: 2.0, ..op(id, 1, 0) }));
+    assert_eq!(fleet.sent_to(0, 0).len(), 0, "nothing has filled since the start");
+}
+
 /// What one gateway sends at once after changes, in ops of two units, of a volume that had two seconds to fill.
 fn sent_after(change: impl FnOnce(&mut TestFleet)) -> usize {
     sent_through(2.0, change)
