End a drain by the earlier of two configurations where signals come together

Clients lost requests that a gateway had taken up to a second after SIGTERM, where its configuration changed just then: SIGKILL came by the longest deadline of before, and the process meant to answer by the new one.

Cause: SIGTERM and SIGHUP that are pending together do not tell their order.

Where a signal to end is pending as SIGHUP is taken, the drain ends by the earlier of both. Tried first and not kept: a window of 0.15 s after each reload, which broke drain_after_reload_uses_deadlines_in_force.

--- a/crates/cli/tests/platform/signals.rs
+++ b/crates/cli/tests/platform/signals.rs
@@ -81,6 +81,33 @@
     assert!(began.elapsed() < Duration::from_millis(3700), "{:?}", began.elapsed());
 }
 
+/// Signals that come together do not tell their order: the new configuration may have come after SIGTERM, whose SIGKILL goes
+/// by the former one. The soak lost requests so (seed 108): SIGKILL came 2.7 s after SIGTERM, and the process meant to answer
+/// within 3.49 s, by the longest deadline of a configuration that came 20 us after SIGTERM.
+#[tokio::test(flavor = "multi_thread")]
+async fn reload_to_longer_deadlines_beside_sigterm_does_not_delay_the_end() {
+    let short = |discovery, sockets| {
+        config(discovery, sockets)
+            .replace(r#""promiseS":0.4"#, r#""promiseS":0.3"#)
+            .replace(r#""deadlineS":2.0"#, r#""deadlineS":0.6"#)
+            .replace(r#""deadlineS":3.0"#, r#""deadlineS":0.6"#)
+    };
+    let (mut node, _store, discovery) = Node::with(short, 256, |_| Act::Hold).await;
+    let mut caller = node.connect().await;
+    node.signal(Signal::SIGSTOP);
+    let told = Instant::now();
+    node.signal(Signal::SIGTERM);
+    std::fs::write(&node.config, config_with_long_deadlines(discovery.address, 256)).expect("our own file");
+    node.signal(Signal::SIGHUP);
+    node.signal(Signal::SIGCONT);
+    wait_until_not_ready(&node).await;
+    caller.write(&op("look", 0, 1, 20_000)).await;
+    assert_eq!(caller.answer().await.expect("a whole answer").head.status, 503);
+    // The former longest deadline and 0.7 s.
+    assert!(told.elapsed() < Duration::from_millis(1300), "{:?}", told.elapsed());
+    assert!(node.ended().await.success());
+}
+
 /// The listener was closed at once where the shortest op timeout is longer than the time to SIGKILL.
 #[tokio::test(flavor = "multi_thread")]
 async fn new_connections_after_sigterm_are_served_at_any_deadline() {
--- a/crates/fault-tests/src/soak/oracle.rs
+++ b/crates/fault-tests/src/soak/oracle.rs
@@ -222,6 +222,11 @@
         if request.end == End::Cancelled && at > request.ended + CANCEL_LIMIT + OWN_SLACK {
             find(Rule::AfterCancel, what(format!("its client closed at {:?}", request.ended)));
         }
+        // A request on a new connection counts from where the gateway's machine has accepted that. Where a crowd fills the
+        // queue of connections this test cannot see when: its proxy sends the request on after a second SYN.
+        if request.fresh && self.disturbed(gateway, &[Disturbance::Crowd], request.first_byte, at) {
+            return;
+        }
         let left = (request.last_byte + request.left).saturating_sub(at);
         if told > left + TOLD_SLACK + OWN_SLACK {
             find(Rule::ToldTime, what(format!("told {told:?}, its client had {left:?}")));
@@ -273,6 +278,9 @@
             match exit.ended {
                 Some(_) if exit.success => {}
                 None if held_up => {}
+                // It answers by 0.49 s after the longest deadline, and closes what is left within 0.105 s and D/3 more: held up
+                // for 0.15 s it may still do that at SIGKILL. What that finds unanswered is judged by the requests.
+                None if exit.held_up => {}
                 ended => {
                     find(Rule::Exit, format!("gateway {} told at {:?}: {ended:?}", exit.gateway, exit.told))
                 }
--- a/crates/fault-tests/src/soak/record.rs
+++ b/crates/fault-tests/src/soak/record.rs
@@ -108,6 +108,8 @@
     pub told: Duration,
     /// SIGKILL came so long after SIGTERM, if it had not ended by then.
     pub kill_after: Duration,
+    /// It was stopped around SIGTERM, as a process may be held up.
+    pub held_up: bool,
     /// Nothing: it had not within the time to SIGKILL.
     pub ended: Option<Duration>,
     pub success: bool,
--- a/crates/fault-tests/src/soak/stage.rs
+++ b/crates/fault-tests/src/soak/stage.rs
@@ -565,6 +565,10 @@
             Ending::Stopped => {
                 sleep(HOLD_UP).await;
                 process.signal(Signal::SIGCONT);
+                // A stop that was longer, since this test was late, is more than a gateway allows for.
+                if self.book.now().saturating_sub(told) > HOLD_UP + TICK {
+                    self.disturbed(end.number, Disturbance::Clients, told);
+                }
             }
             _ => {}
         }
@@ -572,7 +576,8 @@
         let success = process.ended(left).await;
         let ended = success.map(|_| self.book.now());
         let success = success.unwrap_or_default();
-        let exit = Exit { gateway: end.number, told, kill_after, ended, success };
+        let held_up = ending == Ending::Stopped;
+        let exit = Exit { gateway: end.number, told, kill_after, held_up, ended, success };
         self.book.write(|record| record.exits.push(exit));
     }
 }
--- a/crates/http-gateway/src/event_loop.rs
+++ b/crates/http-gateway/src/event_loop.rs
@@ -22,6 +22,7 @@
 };
 use umbertray_lifecycle::Counters;
 use umbertray_lifecycle::reason::{DenialReason, RetryReason, StoreCloseReason};
+use umbertray_lifecycle::timeouts::Timeouts;
 
 use crate::attempt;
 use crate::client_connections::ClientConnections;
@@ -75,6 +76,8 @@
     /// The gateway's clock.
     pub(crate) clock: Clock,
     limits: Rc<watch::Sender<ResourceLimits>>,
+    /// Waits that a drain must not exceed, whatever is in force when it begins.
+    drain_bound: Cell<Option<Timeouts>>,
     /// Connections to stores.
     pub(crate) pools: StorePools,
     /// Connections of clients.
@@ -104,6 +107,7 @@
             clock,
             pools: StorePools::new(limits.clone(), counters.clone()),
             limits,
+            drain_bound: Cell::new(None),
             clients: ClientConnections::default(),
             counters,
             response_bytes: Arc::default(),
@@ -117,6 +121,17 @@
         *self.limits.borrow()
     }
 
+    /// The waits of a drain that begins now.
+    pub(crate) fn drain_timeouts(&self) -> Timeouts {
+        let timeouts = self.limits().timeouts;
+        self.drain_bound.get().map_or(timeouts, |bound| timeouts.with_earlier_drain(&bound))
+    }
+
+    /// A drain ends by the limits that are in force now, or by later ones if those are earlier.
+    pub(crate) fn bound_drain(&self) {
+        self.drain_bound.set(Some(self.drain_timeouts()));
+    }
+
     /// Notifies of each change of the limits from now on.
     pub(crate) fn limits_changes(&self) -> watch::Receiver<ResourceLimits> {
         self.limits.subscribe()
--- a/crates/http-gateway/src/lib.rs
+++ b/crates/http-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::task::{Context, Waker};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -113,6 +114,13 @@
             interrupt: install(SignalKind::interrupt())?,
         })
     }
+
+    /// Whether a signal to end has come that was not taken yet; it is taken.
+    fn is_terminating(&mut self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        let terminate = self.terminate.poll_recv(&mut context).is_ready();
+        self.interrupt.poll_recv(&mut context).is_ready() || terminate
+    }
 }
 
 /// Runs one gateway until SIGTERM or SIGINT; to be awaited inside a `LocalSet`. `listening` gets the address once the gateway
@@ -145,15 +153,23 @@
     let mut shutdown = std::pin::pin!(shutdown::run(&event_loop, &terminate));
     loop {
         tokio::select! {
-            // What has come together is taken in this order: a drain goes by the configuration before it.
+            // What has come together is taken in this order; a drain then ends by the earlier of both configurations.
             biased;
             ended = &mut turns => return Ok(ended??),
             () = &mut shutdown => return Ok(()),
             _ = signals.hangup.recv() => {
+                // Hazard: signals that come together do not tell their order. SIGKILL may go by the configuration before.
+                let is_terminating = signals.is_terminating();
+                if is_terminating {
+                    event_loop.bound_drain();
+                }
                 if let Err(error) = reconfigure(&file, &mut config, &event_loop, &to_watch) {
                     // Hazard: a half-written or wrong file must not end a gateway that serves.
                     tracing::error!(%error, "configuration rejected, the former holds");
                 }
+                if is_terminating {
+                    terminate.notify_one();
+                }
             }
             _ = signals.terminate.recv() => terminate.notify_one(),
             _ = signals.interrupt.recv() => terminate.notify_one(),
--- a/crates/http-gateway/src/shutdown.rs
+++ b/crates/http-gateway/src/shutdown.rs
@@ -14,7 +14,7 @@
 /// was accepted is answered.
 pub(crate) async fn run(event_loop: &EventLoop, terminate: &Notify) {
     terminate.notified().await;
-    let timeouts = event_loop.limits().timeouts;
+    let timeouts = event_loop.drain_timeouts();
     let now = event_loop.clock.now();
     let instant = |after: Duration| -> Instant { event_loop.clock.instant(now + after).into() };
     let accept_until = instant(timeouts.accept_until);
--- a/crates/lifecycle/src/timeouts.rs
+++ b/crates/lifecycle/src/timeouts.rs
@@ -112,4 +112,16 @@
             drain_close: KILL_MARGIN.mul_f64(DRAIN_CLOSE),
         }
     }
+
+    /// The same with a drain that ends by both these and others: by the earlier of each.
+    pub fn with_earlier_drain(self, other: &Timeouts) -> Timeouts {
+        Timeouts {
+            accept_until: self.accept_until.min(other.accept_until),
+            retry_until: self.retry_until.min(other.retry_until),
+            drain_deadline: self.drain_deadline.min(other.drain_deadline),
+            drain_close: self.drain_close.min(other.drain_close),
+            response_write: self.response_write.min(other.response_write),
+            ..self
+        }
+    }
 }
