Listen at all addresses before a gateway accepts at any

Where a later address could not be bound, umbertray's gateway went on accepting sessions at its first one although its start had failed: clients reached a gateway that serves nothing.

Cause: the task that accepts was spawned for each address before the next was bound. Seen by reading; the test connected before the mend and is refused after it.

--- a/crates/cli/tests/sockets/sessions.rs
+++ b/crates/cli/tests/sockets/sessions.rs
@@ -1,5 +1,6 @@
 //! Malformed, slow and stalled peers: each harms its own session alone.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,7 @@
 use umbertray_nbd::client::Negotiation;
 use umbertray_nbd::proto::{CMD_FLAG_DF, CMD_FLAG_FUA, put_request};
 use umbertray_nbd::{Client, ClientEvent, Command, Reply, Request};
-use umbertray_nbd_gateway::RunningGateway;
+use umbertray_nbd_gateway::{GatewayOptions, RunningGateway};
 
 use crate::common::{
     KIB, block_contents, connect, expect_acked, is_throttled, read_marks, retry_throttled, settings_document,
@@ -286,3 +287,25 @@
     let late: Vec<_> = ended.join_all().await.into_iter().filter(|(_, ended)| !ended).collect();
     assert!(late.is_empty(), "not closed within {BAD_CLIENT_LIMIT:?}: {late:?}");
 }
+
+/// A gateway went on accepting sessions at its first address where a later one could not be bound and its start had failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_that_cannot_listen_everywhere_listens_nowhere() {
+    let fleet = start_fleet(1).await;
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let mut document = settings_document("");
+    document.listen = vec![free, taken.local_addr().expect("bound")];
+    let options = GatewayOptions {
+        listen: document.listen,
+        endpoint_list: fleet.list.address,
+        coordinator: None,
+        seed: 1,
+        state: None,
+        changes: None,
+    };
+    let started = umbertray_nbd_gateway::start(Arc::new(document.settings), options).await;
+    assert!(started.is_err(), "one address is taken");
+    let connected = tokio::net::TcpStream::connect(free).await;
+    assert_eq!(connected.err().map(|error| error.kind()), Some(std::io::ErrorKind::ConnectionRefused));
+}
--- a/crates/nbd-gateway/src/running.rs
+++ b/crates/nbd-gateway/src/running.rs
@@ -182,11 +182,14 @@
     let session_slots = Arc::new(Semaphore::new(max_sessions));
     let mut bound = Vec::new();
     let mut listeners = Vec::new();
+    // Hazard: a task that accepts already would go on where a later address cannot be bound, for a gateway that has not
+    // started.
     for address in addresses {
         let listener = TcpListener::bind(address).await?;
         bound.push(listener.local_addr()?);
-        let accepting = listener::accept_sessions(listener, context.clone(), session_slots.clone());
-        listeners.push(tokio::spawn(accepting));
+        listeners.push(listener);
     }
-    Ok((bound, listeners))
+    let accept =
+        |listener| tokio::spawn(listener::accept_sessions(listener, context.clone(), session_slots.clone()));
+    Ok((bound, listeners.into_iter().map(accept).collect()))
 }
