--- a/crates/fault-tests/src/day.rs
+++ b/crates/fault-tests/src/day.rs
@@ -5,9 +5,12 @@
 use umbertray_config::{Arguments, Problem, SettingsDocument};
 use umbertray_fakes::model::Power;
 
+/// Clients of one kind, on one volume.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Load {
+    /// Index of the volume.
     pub volume: usize,
+    /// Number of clients.
     pub clients: u32,
     /// Requests that a client has out at most.
     pub depth: u32,
@@ -15,6 +18,7 @@
     pub rate: f64,
     /// Parts of the requests that read and flush; the others write.
     pub reads: f64,
+    /// See `reads`.
     pub flushes: f64,
     /// Bytes of a request, at most; drawn in blocks.
     pub length: u32,
@@ -25,37 +29,67 @@
 /// Kinds of trouble, of a bench day and a few of the wire's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
+    /// Stores die and come back cold.
     Crash,
+    /// Work takes longer.
     Slow,
+    /// Stores stop for a while, again and again.
     Pauses,
+    /// Attempts fail at once.
     FastErrors,
+    /// All is rejected.
     Full,
+    /// A neighbour takes a share of the store.
     Neighbour,
+    /// The list answers late.
     ReportLate,
+    /// Answers never come.
     AnswerLost,
+    /// Stores slow down and are replaced.
     Ageing,
+    /// Stores drain in waves and are replaced.
     Preempt,
+    /// Stores drain one by one and are replaced.
     Deploy,
+    /// Connections are accepted and nothing is said.
     Mute,
+    /// Writes are put aside before they queue.
     Sit,
+    /// Connections to stores are reset again and again.
     Reset,
+    /// The list rejects calls.
     ListDown,
+    /// Gateways are killed and started again.
     GatewayCrash,
+    /// The same, after the fault's time.
     GatewayDown,
+    /// One gateway after another is killed and started again.
     GatewayLoop,
+    /// Gateways are stopped for a while.
     GatewayStall,
+    /// Clients drop their connections.
     Reconnect,
+    /// The shared settings change.
     Change,
+    /// All volumes get more requests.
     Burst,
+    /// One volume gets more requests.
     Surge,
+    /// One block gets all requests of its volume.
     HotKey,
+    /// Clients read through a volume.
     Scan,
+    /// A range moves to another shard.
     Move,
+    /// The coordinator is killed and started again.
     KeeperCrash,
+    /// The coordinator is stopped for a while.
     KeeperStall,
+    /// A second coordinator takes over from one that is stopped.
     KeeperSecond,
 }
 
+/// The kinds by their names in a script.
 pub const KINDS: [(&str, Kind); 29] = [
     ("crash", Kind::Crash),
     ("slow", Kind::Slow),
@@ -88,10 +122,14 @@
     ("keeper_second", Kind::KeeperSecond),
 ];
 
+/// A fault of a day.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trouble {
+    /// What happens.
     pub kind: Kind,
+    /// When it begins.
     pub at: Duration,
+    /// How long it lasts.
     pub lasts: Duration,
     /// The part of the stores, gateways or clients that it strikes; one of them at least.
     pub part: f64,
@@ -103,13 +141,20 @@
     pub edits: Vec<String>,
 }
 
+/// A scenario.
 #[derive(Clone, Debug)]
 pub struct Day {
+    /// The script.
     pub text: String,
+    /// The settings of its gateways.
     pub document: SettingsDocument,
+    /// How long faults are played.
     pub length: Duration,
+    /// Number of gateways.
     pub gateways: u32,
+    /// Number of stores, each with a shard of its own.
     pub stores: u32,
+    /// What a store can do.
     pub power: Power,
     /// What may pass between a thing's happening and its being seen, on a machine that does much else.
     pub slack: Duration,
@@ -119,11 +164,17 @@
     pub changes: bool,
     /// A coordinator in a process of its own has the map.
     pub keeper: bool,
+    /// Its clients.
     pub loads: Vec<Load>,
+    /// Its faults.
     pub troubles: Vec<Trouble>,
 }
 
 impl Day {
+    /// Reads a script; `file` is its name in messages.
+    ///
+    /// # Errors
+    /// All problems of the script.
     pub fn read(file: &str, text: String) -> Result<Day, Vec<Problem>> {
         let calls = umbertray_config::evaluate(file, text.clone()).map_err(|problem| vec![problem])?;
         let mut document = umbertray_config::document(file, &calls)?;
--- a/crates/fault-tests/src/judge/mod.rs
+++ b/crates/fault-tests/src/judge/mod.rs
@@ -15,14 +15,17 @@
 /// What one rule came to.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Finding {
+    /// The rule.
     pub rule: &'static str,
     /// How often it was looked at: a rule that was never tried says nothing.
     pub looked: u64,
     /// Its figure, in the words of `unit`.
     pub figure: f64,
+    /// What the figure counts.
     pub unit: &'static str,
     /// The first few breaches.
     pub breaches: Vec<String>,
+    /// How often it was broken.
     pub broken: u64,
 }
 
@@ -43,10 +46,14 @@
     }
 }
 
+/// What a scenario came to.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Verdict {
+    /// No rule was broken.
     pub kept: bool,
+    /// What each rule came to.
     pub findings: Vec<Finding>,
+    /// What clients were served.
     pub service: Service,
     /// Steps of faults that began later than the day's slack.
     pub late_steps: Vec<LateStep>,
@@ -54,6 +61,7 @@
     pub held_up: Vec<HeldUp>,
 }
 
+/// Judges a scenario by its record.
 pub fn judge(day: &Day, record: &Record) -> Verdict {
     let seen = rules::Seen::new(day, record);
     let findings = vec![
--- a/crates/fault-tests/src/judge/rules.rs
+++ b/crates/fault-tests/src/judge/rules.rs
@@ -50,7 +50,7 @@
 }
 
 impl<'a> Seen<'a> {
-    pub fn new(day: &'a Day, record: &'a Record) -> Seen<'a> {
+    pub(super) fn new(day: &'a Day, record: &'a Record) -> Seen<'a> {
         let mut arrived: Vec<Arrived> = Vec::new();
         let mut index: HashMap<(u64, u64), usize> = HashMap::new();
         for entry in &record.stores {
@@ -92,7 +92,7 @@
         Seen { day, record, settings: &day.document.settings, slack, arrived, writes, runs }
     }
 
-    pub fn op_type(&self, asked: &Asked) -> usize {
+    pub(super) fn op_type(&self, asked: &Asked) -> usize {
         self.settings.op_type(asked.kind.work(), asked.length)
     }
 
--- a/crates/fault-tests/src/judge/service.rs
+++ b/crates/fault-tests/src/judge/service.rs
@@ -7,23 +7,35 @@
 use crate::day::Day;
 use crate::record::{Asked, Deed, Outcome, Record};
 
+/// Requests by how they ended.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Count {
+    /// All.
     pub asked: u64,
+    /// Acknowledged.
     pub acked: u64,
+    /// Acknowledged within the target latency.
     pub in_target: u64,
+    /// Throttled.
     pub throttled: u64,
+    /// Aborted.
     pub aborted: u64,
+    /// Without an answer.
     pub lost: u64,
     /// Utility asked for, and acked within the target latency.
     pub utility: f64,
+    /// See `utility`.
     pub utility_in_target: f64,
 }
 
+/// What clients were served.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Service {
+    /// All requests.
     pub all: Count,
+    /// By op type.
     pub by_op_type: BTreeMap<String, Count>,
+    /// By plan.
     pub by_plan: BTreeMap<String, Count>,
     /// Of requests to a gateway within ten seconds after it came back from its death.
     pub after_return: Count,
--- a/crates/fault-tests/src/load.rs
+++ b/crates/fault-tests/src/load.rs
@@ -17,6 +17,7 @@
 use crate::day::Load;
 use crate::record::{Asked, Kind, Outcome, Record};
 
+/// Size of a block, bytes.
 pub const BLOCK: u32 = 4096;
 
 /// What the day does to clients at the moment.
@@ -26,14 +27,18 @@
     pub rate: Vec<f64>,
     /// All requests of the volume go to one block; or through the whole volume, reading.
     pub hot: Vec<bool>,
+    /// Requests read through the whole volume, by volume.
     pub scan: Vec<bool>,
     /// Counts the moments at which a part of the clients drop their connections.
     pub drops: u64,
+    /// The part of the clients that drop their connections.
     pub drop_part: f64,
+    /// The scenario is over.
     pub over: bool,
 }
 
 impl Weather {
+    /// Nothing is done to clients.
     pub fn fair(volumes: usize) -> Weather {
         let (rate, no) = (vec![1.0; volumes], vec![false; volumes]);
         Weather { rate, hot: no.clone(), scan: no, drops: 0, drop_part: 0.0, over: false }
@@ -42,9 +47,13 @@
 
 /// What all clients share.
 pub struct Shared {
+    /// The record of the stores, and the clock.
     pub book: Book,
+    /// What is done to clients now.
     pub weather: watch::Receiver<Weather>,
+    /// What is recorded.
     pub record: Mutex<Record>,
+    /// The next mark of a write.
     pub marks: AtomicU64,
     /// Where each gateway listens now.
     pub gateways: Mutex<Vec<SocketAddr>>,
@@ -52,13 +61,21 @@
     pub patience: Duration,
 }
 
+/// One client.
 pub struct Client {
+    /// Its number.
     pub number: u32,
+    /// Index of its gateway.
     pub gateway: usize,
+    /// What it asks for.
     pub load: Load,
+    /// Name of its volume.
     pub volume_name: String,
+    /// Size of its volume, bytes.
     pub volume_bytes: u64,
+    /// Seed of what it draws.
     pub seed: u64,
+    /// What all clients share.
     pub shared: Arc<Shared>,
 }
 
@@ -111,7 +128,7 @@
                         return;
                     }
                 }
-                std::future::pending().await
+                std::future::pending::<()>().await;
             };
             tokio::select! {
                 () = dropped => {}
--- a/crates/fault-tests/src/soak/client.rs
+++ b/crates/fault-tests/src/soak/client.rs
@@ -37,14 +37,19 @@
 
 /// One client of a gateway.
 pub struct Client {
+    /// Number of the gateway.
     pub gateway: u32,
+    /// Where the gateway's clients connect.
     pub address: SocketAddr,
+    /// Where it records what it saw.
     pub book: Arc<Book>,
     /// The longest deadline of the gateway's configuration, in milliseconds.
     pub deadline: Arc<AtomicU64>,
     /// The next id of all clients.
     pub ids: Arc<AtomicU64>,
+    /// Turns true once the soak is over.
     pub over: watch::Receiver<bool>,
+    /// Seed of what it draws.
     pub seed: u64,
 }
 
--- a/crates/fault-tests/src/soak/oracle.rs
+++ b/crates/fault-tests/src/soak/oracle.rs
@@ -71,7 +71,9 @@
 /// One break of a rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
+    /// The rule.
     pub rule: Rule,
+    /// What was seen.
     pub what: String,
 }
 
@@ -171,10 +173,10 @@
                 }
             }
             End::Closed if self.attempted.contains(&id) => {
-                find(Rule::Lost, what("sent on, then closed unanswered"))
+                find(Rule::Lost, what("sent on, then closed unanswered"));
             }
             End::Closed if request.fresh && !draining => {
-                find(Rule::Lost, what("closed unanswered on a new connection"))
+                find(Rule::Lost, what("closed unanswered on a new connection"));
             }
             End::Closed | End::Cancelled => {}
             End::Silent => find(Rule::Lost, what("neither an answer nor a close")),
@@ -282,7 +284,7 @@
                 // for 0.15 s it may still do that at SIGKILL. What that finds unanswered is judged by the requests.
                 None if exit.held_up => {}
                 ended => {
-                    find(Rule::Exit, format!("gateway {} told at {:?}: {ended:?}", exit.gateway, exit.told))
+                    find(Rule::Exit, format!("gateway {} told at {:?}: {ended:?}", exit.gateway, exit.told));
                 }
             }
         }
--- a/crates/fault-tests/src/soak/plan.rs
+++ b/crates/fault-tests/src/soak/plan.rs
@@ -22,8 +22,11 @@
 /// A link of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Link {
+    /// To its clients.
     Clients,
+    /// To discovery.
     Discovery,
+    /// To this store.
     Store(u32),
 }
 
@@ -58,48 +61,64 @@
 /// What happens to a gateway, a link or a store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
+    /// A link is disturbed.
     Link {
+        /// Number of the gateway.
         gateway: u32,
+        /// Which of its links.
         link: Link,
+        /// How.
         fault: LinkFault,
     },
     /// SIGSTOP, then SIGCONT.
     Stop {
+        /// Number of the gateway.
         gateway: u32,
     },
     /// SIGTERM among other signals, SIGKILL at the page's earliest, and a new start.
     Restart {
+        /// Number of the gateway.
         gateway: u32,
+        /// What comes with SIGTERM.
         ending: Ending,
     },
     /// SIGKILL, and a new start on the same port.
     Kill {
+        /// Number of the gateway.
         gateway: u32,
     },
     /// Up to three configurations from this number on, right or wrong, each with SIGHUP.
     Configure {
+        /// Number of the gateway.
         gateway: u32,
+        /// Number of the first configuration.
         number: u32,
     },
     /// Idle clients and such with half a request, more than the descriptors suffice for.
     Crowd {
+        /// Number of the gateway.
         gateway: u32,
     },
     /// A store answers nothing while it lasts.
     StoreHangs {
+        /// Number of the store.
         store: u32,
     },
     /// A store answers errors, or turns requests away unrun.
     StoreFails {
+        /// Number of the store.
         store: u32,
+        /// Whether it rejects without running, or answers errors.
         unrun: bool,
     },
     /// A store ends connections in place of answers, before or after the request has run.
     StoreCloses {
+        /// Number of the store.
         store: u32,
     },
     /// A store drains, is gone after that, and comes back.
     StoreDrains {
+        /// Number of the store.
         store: u32,
     },
 }
@@ -107,16 +126,22 @@
 /// One fault in its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Planned {
+    /// When it begins.
     pub at: Duration,
+    /// How long it lasts.
     pub lasts: Duration,
+    /// What happens.
     pub fault: Fault,
 }
 
 /// A soak as it will be played.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
+    /// The seed.
     pub seed: u64,
+    /// Number of gateways.
     pub gateways: u32,
+    /// For how long faults are injected.
     pub lasts: Duration,
     /// System calls of the gateways fail, are interrupted and short now and then.
     pub failing_calls: bool,
--- a/crates/fault-tests/src/soak/process.rs
+++ b/crates/fault-tests/src/soak/process.rs
@@ -74,6 +74,7 @@
 
 /// One running process; dropped, it is killed.
 pub struct Process {
+    /// Where it listens.
     pub address: SocketAddr,
     child: Child,
     config: PathBuf,
@@ -82,6 +83,9 @@
 
 impl Process {
     /// Starts one with the configuration of this number.
+    ///
+    /// # Errors
+    /// It cannot be started, or does not say where it listens in time.
     pub async fn start(
         program: &Path,
         folder: &Path,
@@ -113,6 +117,9 @@
     }
 
     /// Writes another configuration; a signal tells of it.
+    ///
+    /// # Errors
+    /// The file cannot be written.
     pub fn configure(&self, text: &str) -> io::Result<()> {
         std::fs::write(&self.config, text)
     }
--- a/crates/fault-tests/src/soak/record.rs
+++ b/crates/fault-tests/src/soak/record.rs
@@ -6,15 +6,22 @@
 /// How often an op of a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
+    /// Any number of times.
     Free,
+    /// Once at most.
     Once,
 }
 
 /// How a client's request ended, by what its client saw.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// `own`: the body is the one that stores give to this request.
-    Answered { status: u16, own: bool },
+    /// A whole answer came.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Whether its body is the one that stores give to this request.
+        own: bool,
+    },
     /// The gateway closed the connection, with no whole answer.
     Closed,
     /// The client closed its connection.
@@ -26,23 +33,32 @@
 /// A request of a good client, written whole.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// Number of the gateway.
     pub gateway: u32,
+    /// The request's id.
     pub id: u64,
+    /// How often its op may run.
     pub effect: Effect,
     /// How long its client said that it waits.
     pub left: Duration,
+    /// When its first byte was written.
     pub first_byte: Duration,
+    /// When its last byte was written.
     pub last_byte: Duration,
     /// It was the first of its connection.
     pub fresh: bool,
+    /// How it ended.
     pub end: End,
+    /// When it ended.
     pub ended: Duration,
 }
 
 /// A client that stopped in the middle of a request.
 #[derive(Clone, Debug)]
 pub struct Stopped {
+    /// Number of the gateway.
     pub gateway: u32,
+    /// When it stopped.
     pub stopped: Duration,
     /// When it had an error or a close.
     pub ended: Option<Duration>,
@@ -51,9 +67,13 @@
 /// The head of an attempt as it left a gateway.
 #[derive(Clone, Debug)]
 pub struct Attempt {
+    /// Number of the gateway.
     pub gateway: u32,
+    /// Number of the store.
     pub store: u32,
+    /// The request's id.
     pub id: u64,
+    /// When it left.
     pub at: Duration,
     /// The time that it told its store.
     pub told: Duration,
@@ -62,8 +82,11 @@
 /// An attempt that came whole to a store.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// Number of the store.
     pub store: u32,
+    /// The request's id.
     pub id: u64,
+    /// When it came.
     pub at: Duration,
     /// It was not turned away unrun.
     pub ran: bool,
@@ -72,8 +95,11 @@
 /// A store that began to drain, and until when the list said so.
 #[derive(Clone, Debug)]
 pub struct Drained {
+    /// Number of the store.
     pub store: u32,
+    /// When the list began to say so.
     pub from: Duration,
+    /// When the list no longer said so.
     pub to: Duration,
 }
 
@@ -95,16 +121,22 @@
 /// A disturbance in its time.
 #[derive(Clone, Debug)]
 pub struct Window {
+    /// Number of the gateway.
     pub gateway: u32,
+    /// What it was.
     pub disturbance: Disturbance,
+    /// When it began.
     pub from: Duration,
+    /// When it was over.
     pub to: Duration,
 }
 
 /// How a process ended that was told to.
 #[derive(Clone, Debug)]
 pub struct Exit {
+    /// Number of the gateway.
     pub gateway: u32,
+    /// When SIGTERM was sent.
     pub told: Duration,
     /// SIGKILL came so long after SIGTERM, if it had not ended by then.
     pub kill_after: Duration,
@@ -112,18 +144,26 @@
     pub held_up: bool,
     /// Nothing: it had not within the time to SIGKILL.
     pub ended: Option<Duration>,
+    /// It ended with success.
     pub success: bool,
 }
 
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
+    /// Requests of good clients.
     pub requests: Vec<Request>,
+    /// Clients that stopped in the middle of a request.
     pub stopped: Vec<Stopped>,
+    /// Attempts as they left gateways.
     pub attempts: Vec<Attempt>,
+    /// Attempts as they came to stores.
     pub arrivals: Vec<Arrival>,
+    /// Stores that drained.
     pub drains: Vec<Drained>,
+    /// What disturbed gateways.
     pub windows: Vec<Window>,
+    /// Processes that were told to end.
     pub exits: Vec<Exit>,
     /// Processes that ended unasked, and panics that processes wrote to standard error.
     pub crashes: Vec<String>,
