Keep a polled endpoint list's watch open without waiting for the scheduler

Cause: after each failure the watch waited for the scheduler's next request on top of its own backoff. That wait is a ratio of askWithinS, 5 to 10 s from the fourth failure on, while a change counts as notified 6 s after discovery had it and could be reached. The sums in backoff.rs did not contain it, and the tests' discovery requested each watch itself.

Change: the scheduler's request opens a polled watch once, and backoff.rs alone owns what passes between two attempts. Polled lists have a schedule there that spreads a fleet's queries and leaves a third attempt in time after two lost ones.

Test: change_after_outage_is_known_in_time_where_lists_are_polled, with the real scheduler. The sum of all waits is tested for both deliveries, so is the number of a fleet's calls in 0.1 s and in a minute; each fails when its constant is moved.

Two tests held the old behaviour and are replaced. slow_list_while_scheduler_waits_continues wanted no second connection while the scheduler waits: a slow list is now accepted beside bounded further queries that all stall, and its connection stays. changed_address_while_scheduler_waits_is_queried allowed 4 s after a move during the scheduler's wait: the new address is now to be queried within 0.1 s, in an attempt or in the backoff. two_lost_attempts_after_outage_leave_third_in_time now covers polled lists too, with the same bound.

--- a/crates/http-gateway/src/event_loop.rs
+++ b/crates/http-gateway/src/event_loop.rs
@@ -87,7 +87,7 @@
     pub(crate) counters: Rc<Counters>,
     /// Bytes reserved for large responses.
     pub(crate) response_bytes: Arc<AtomicUsize>,
-    /// Notified when the scheduler requests a watch on the endpoint list.
+    /// Notified when the scheduler requests a watch on the endpoint list. The first request opens it.
     pub(crate) watch_requested: Notify,
     /// Notified when the scheduler requests the complete endpoint list.
     pub(crate) fetch_requested: Notify,
@@ -235,14 +235,21 @@
     /// Waits for an input that no turn has processed yet.
     #[cfg(test)]
     pub(crate) async fn posted(&self, is_wanted: impl Fn(&Input) -> bool) {
-        while !self.inputs.borrow().iter().any(&is_wanted) {
+        while !self.has_posted(&is_wanted) {
             self.wake.notified().await;
         }
     }
 
-    fn turn(self: &Rc<EventLoop>) -> Result<(), FatalError> {
+    /// Whether there is such an input that no turn has processed yet.
+    #[cfg(test)]
+    pub(crate) fn has_posted(&self, is_wanted: impl Fn(&Input) -> bool) -> bool {
+        self.inputs.borrow().iter().any(is_wanted)
+    }
+
+    /// Processes the queued inputs and the timers that are due at `now`.
+    pub(crate) fn turn_at(self: &Rc<EventLoop>, now: Duration) -> Result<(), FatalError> {
         let inputs = self.inputs.take();
-        let effects = self.core.borrow_mut().handle(self.clock.now(), inputs);
+        let effects = self.core.borrow_mut().handle(now, inputs);
         effects.into_iter().try_for_each(|effect| self.apply(effect))
     }
 
@@ -332,7 +339,7 @@
 /// Runs turns of the core until the scheduler cannot continue.
 pub(crate) async fn run(event_loop: Rc<EventLoop>) -> Result<(), FatalError> {
     loop {
-        event_loop.turn()?;
+        event_loop.turn_at(event_loop.clock.now())?;
         let deadline = event_loop.core.borrow().next_deadline();
         let timer = async {
             match deadline {
--- a/crates/http-gateway/src/watch/error.rs
+++ b/crates/http-gateway/src/watch/error.rs
@@ -38,13 +38,14 @@
 
 impl WatchError {
     /// The kind of the failure, which determines the backoff before the next attempt.
-    pub(super) fn failure_kind(&self, is_polled: bool) -> FailureKind {
+    pub(super) fn failure_kind(&self) -> FailureKind {
         match self {
             WatchError::Silent => FailureKind::TimedOut,
-            WatchError::Connect(_) | WatchError::ConnectionLost(_) | WatchError::Ended if !is_polled => {
-                FailureKind::ClosedLocally
-            }
-            _ => FailureKind::Immediate,
+            WatchError::Connect(_) | WatchError::ConnectionLost(_) | WatchError::Ended => FailureKind::Closed,
+            WatchError::Status(_)
+            | WatchError::Http(_)
+            | WatchError::Malformed(_)
+            | WatchError::OlderVersion { .. } => FailureKind::Unusable,
         }
     }
 
--- a/crates/http-gateway/src/watch/mod.rs
+++ b/crates/http-gateway/src/watch/mod.rs
@@ -18,7 +18,7 @@
 
 use self::attempt::{Attempt, until_failed, wait_or_promote_slow};
 use self::transfer::WatchState;
-use crate::backoff::ConsecutiveFailures;
+use crate::backoff::{ConsecutiveFailures, Delivery};
 use crate::event_loop::EventLoop;
 
 /// Numbers of consecutive failed attempts.
@@ -37,22 +37,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct DiscoverySource {
     address: SocketAddr,
-    /// Whether the scheduler requests each watch; otherwise changes are pushed.
-    is_polled: bool,
+    delivery: Delivery,
 }
 
 impl DiscoverySource {
     pub(crate) fn from_config(config: &Config) -> DiscoverySource {
         let is_polled = config.settings.get("discovery").is_some_and(|word| word == "asked");
-        DiscoverySource { address: config.discovery, is_polled }
+        let delivery = if is_polled { Delivery::Polled } else { Delivery::Pushed };
+        DiscoverySource { address: config.discovery, delivery }
     }
 }
 
-/// Follows the endpoint list at the current source. If the source is polled, the first watch starts when the
-/// scheduler requests it, and so does the next watch after a failure.
+/// Follows the endpoint list at the current source. If the source is polled, the watch starts when the
+/// scheduler requests it; from then on it is kept open.
+///
+/// Hazard: the scheduler requests a watch again some time after each failure, and may wait for much longer
+/// than a change may remain unknown. Only the waits of [`crate::backoff`] may pass between two attempts.
 ///
 /// Cancelled `select!` branches drop an attempt on purpose if its source has changed or the complete list has
-/// to be fetched. A requested watch stays requested.
+/// to be fetched.
 pub(crate) async fn follow<S: AsyncRead + AsyncWrite + Unpin>(
     connect: impl AsyncFn(SocketAddr) -> io::Result<S>,
     event_loop: Rc<EventLoop>,
@@ -64,23 +67,18 @@
     tracing::debug!(known_version, "watch started");
     let mut counts = FailureCounts::default();
     let mut draws = 0;
-    let mut is_requested = !source.borrow().is_polled;
     // `slow` is an attempt that continues alongside the current one. `next` is a slow attempt that has
     // received something, and becomes the current one.
     let mut slow = None;
     let mut next = None;
-    loop {
-        // Hazard: after the scheduler has requested a watch, it does not request another one if only the
-        // source changes or if the watch starts with the complete list.
-        if !std::mem::replace(&mut is_requested, true) && next.is_none() {
-            tokio::select! {
-                () = wait_or_promote_slow(&mut slow, &mut next, event_loop.watch_requested.notified()) => {}
-                // Hazard: a change that the new address has counts as notified soon, however long the
-                // scheduler waits before it polls again. So the wait ends when the address changes.
-                _ = source.changed() => (counts, slow) = (FailureCounts::default(), None),
-            }
+    if source.borrow().delivery == Delivery::Polled {
+        tokio::select! {
+            () = event_loop.watch_requested.notified() => {}
+            _ = source.changed() => {}
         }
-        let DiscoverySource { address, is_polled } = *source.borrow_and_update();
+    }
+    loop {
+        let DiscoverySource { address, delivery } = *source.borrow_and_update();
         let started_at = Instant::now();
         tracing::debug!(discovery = %address, stale_for = ?state.stale_for(), "endpoint list queried");
         let attempt =
@@ -109,19 +107,15 @@
             state.forget_version();
         }
         event_loop.post(Input::EndpointListFailed);
-        is_requested = !is_polled;
         counts = state.count_failure(counts);
         draws += 1;
         let attempt_duration = started_at.elapsed();
-        let max_backoff = counts.watch.max_backoff_after(attempt_duration, error.failure_kind(is_polled));
-        let backoff = max_backoff.mul_f64(0.5 + random_fraction(seed, draws) / 2.0);
+        let jitter = random_fraction(seed, draws);
+        let backoff = counts.watch.backoff_after(attempt_duration, delivery, error.failure_kind(), jitter);
         tracing::warn!(discovery = %address, %error, ?attempt_duration, ?backoff, "endpoint list stale");
         tokio::select! {
             () = wait_or_promote_slow(&mut slow, &mut next, sleep(backoff)) => {}
-            _ = source.changed() => {
-                is_requested = true;
-                (counts, slow) = (FailureCounts::default(), None);
-            }
+            _ = source.changed() => (counts, slow) = (FailureCounts::default(), None),
         }
     }
 }
