Bound how late serve asks for the list of stores again, for any ask_within

Callers saw: after an absence of the list service, serve went on using stores that drain or are gone until the scheduler subscribed again, up to ask_within after the last failure; a settings script may make that any length.

The scheduler's wait is a ratio of ask_within, and nothing tied it to the 6 s after which a change counts as notified. A connection that hangs took the connect time-out of stores on top.

The 6 s and 4 s of the standing page are constants beside the other pages' limits, and the tests of the HTTP watch use them.

--- a/crates/http-gateway/src/backoff/tests.rs
+++ b/crates/http-gateway/src/backoff/tests.rs
@@ -1,8 +1,9 @@
 //! Bounds of the timeouts and the backoff.
 
+use umbertray_lifecycle::limits::{CHANGE_NOTIFIED_AFTER_MOVE, CHANGE_NOTIFIED_WITHIN};
+
 use super::*;
 
-const MAX_STALENESS: Duration = Duration::from_secs(6);
 const MINUTE: Duration = Duration::from_secs(60);
 
 const DELIVERIES: [Delivery; 2] = [Delivery::Pushed, Delivery::Polled];
@@ -12,7 +13,7 @@
 fn two_failures_after_silence_leave_third_attempt_in_time() {
     for delivery in DELIVERIES {
         let staleness = last_attempt_begins_within(3, delivery) + ConsecutiveFailures(2).response_timeout();
-        assert!(staleness < MAX_STALENESS, "{delivery:?}: {staleness:?}");
+        assert!(staleness < CHANGE_NOTIFIED_WITHIN, "{delivery:?}: {staleness:?}");
     }
 }
 
@@ -23,7 +24,7 @@
     for delivery in DELIVERIES {
         let waits = (0..MAX_COUNTED).flat_map(|failures| waits_between_attempts(delivery, failures));
         let lost = waits.max().expect("a wait");
-        assert!(2 * lost < MAX_STALENESS, "{delivery:?}: {lost:?}");
+        assert!(2 * lost < CHANGE_NOTIFIED_WITHIN, "{delivery:?}: {lost:?}");
     }
 }
 
@@ -49,7 +50,7 @@
     for delivery in DELIVERIES {
         let staleness = last_attempt_begins_within(3, delivery) - watch_idle_timeout()
             + ConsecutiveFailures(2).response_timeout();
-        assert!(staleness < Duration::from_secs(4), "{delivery:?}: {staleness:?}");
+        assert!(staleness < CHANGE_NOTIFIED_AFTER_MOVE, "{delivery:?}: {staleness:?}");
     }
 }
 
--- a/crates/http-gateway/src/watch/tests.rs
+++ b/crates/http-gateway/src/watch/tests.rs
@@ -9,15 +9,11 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, timeout};
 use umbertray_http_api::Input;
+use umbertray_lifecycle::limits::{CHANGE_NOTIFIED_AFTER_MOVE, CHANGE_NOTIFIED_WITHIN};
 
 use self::scripted_discovery::{Behavior, MINUTE, NEXT_ADDRESS, TRICKLE_INTERVAL, TestWatch};
 use crate::backoff::{self, Delivery, last_attempt_begins_within};
 
-/// Maximum time from the start of a watch's silence until the changes that it missed are known.
-const MAX_STALENESS: Duration = Duration::from_secs(6);
-/// Maximum time from a change of discovery's address until the changes at the new address are known.
-const MAX_STALENESS_AFTER_MOVE: Duration = Duration::from_secs(4);
-
 /// Checks that version 2 is received as soon as the attempt with the last of `behaviors` starts, and before
 /// this version counts as notified.
 async fn assert_updates_in_time(behaviors: &[Behavior]) {
@@ -28,7 +24,7 @@
         // The silence of a slow line counts from its first byte.
         let bound = last_attempt_begins_within(behaviors.len() as u32 - 1, delivery) + TRICKLE_INTERVAL;
         assert!(
-            elapsed < MAX_STALENESS && elapsed <= bound,
+            elapsed < CHANGE_NOTIFIED_WITHIN && elapsed <= bound,
             "{delivery:?} {behaviors:?}: {elapsed:?}, at most {bound:?}"
         );
         assert_eq!(test_watch.connect_count(), behaviors.len());
@@ -109,7 +105,7 @@
             TestWatch::new(Delivery::Pushed, &[Behavior::ListThenSilent(5), Behavior::ListThenHeartbeats(3)]);
         test_watch.wait_for_list(3).await;
         let elapsed = test_watch.silent_since.get().expect("a watch that fell silent").elapsed();
-        assert!(elapsed < MAX_STALENESS, "{elapsed:?}");
+        assert!(elapsed < CHANGE_NOTIFIED_WITHIN, "{elapsed:?}");
         assert_eq!(test_watch.connect_count(), 3);
     })
     .await;
@@ -144,7 +140,7 @@
         );
         let started_at = Instant::now();
         test_watch.wait_for_list(2).await;
-        assert!(started_at.elapsed() < MAX_STALENESS, "{:?}", started_at.elapsed());
+        assert!(started_at.elapsed() < CHANGE_NOTIFIED_WITHIN, "{:?}", started_at.elapsed());
     })
     .await;
 }
@@ -272,7 +268,7 @@
             let test_watch = TestWatch::new(delivery, &behaviors);
             test_watch.wait_for_list(2).await;
             let elapsed = test_watch.connects.borrow()[first_after_outage].1.elapsed();
-            assert!(elapsed < MAX_STALENESS, "{delivery:?}: {first:?}, {second:?}: {elapsed:?}");
+            assert!(elapsed < CHANGE_NOTIFIED_WITHIN, "{delivery:?}: {first:?}, {second:?}: {elapsed:?}");
         }
     })
     .await;
@@ -343,7 +339,7 @@
                 ]);
                 test_watch.wait_for_list(2).await;
                 let elapsed = moved_at.elapsed();
-                assert!(elapsed < MAX_STALENESS_AFTER_MOVE, "{delivery:?} after {outage:?}: {elapsed:?}");
+                assert!(elapsed < CHANGE_NOTIFIED_AFTER_MOVE, "{delivery:?} after {outage:?}: {elapsed:?}");
                 assert_eq!(test_watch.connects.borrow()[9].0, NEXT_ADDRESS.parse().expect("an address"));
             }
         }
--- a/crates/http-gateway/src/watch/tests/outages.rs
+++ b/crates/http-gateway/src/watch/tests/outages.rs
@@ -15,9 +15,10 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use umbertray_clock::Clock;
 use umbertray_http_api::{Config, Core, Input, protocol};
+use umbertray_lifecycle::limits::CHANGE_NOTIFIED_WITHIN;
 
+use super::in_paused_time;
 use super::scripted_discovery::{Behavior, CONFIG, MINUTE, STREAM, chunk, list, request};
-use super::{MAX_STALENESS, in_paused_time};
 use crate::event_loop::EventLoop;
 use crate::resource_limits::ResourceLimits;
 use crate::watch::{DiscoverySource, follow, random_fraction};
@@ -249,7 +250,7 @@
                 let seed = SEEDS * index as u64 + number + 1;
                 let outage = Outage::draw(seed, discovery, ask_within, failure);
                 let staleness = outage.play().await.staleness;
-                assert!(staleness < MAX_STALENESS, "{outage:?}: known after {staleness:?}");
+                assert!(staleness < CHANGE_NOTIFIED_WITHIN, "{outage:?}: known after {staleness:?}");
             }
         }
     }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 pub mod counters;
 pub mod limits;
+pub mod list_retry;
 pub mod reason;
 pub mod request;
 pub mod store_connection;
--- a/crates/lifecycle/src/limits.rs
+++ b/crates/lifecycle/src/limits.rs
@@ -28,3 +28,11 @@
 
 /// Clients still open new connections for this long after SIGTERM. Protocol page, "Figures".
 pub const CONNECTIONS_AFTER_SIGTERM: Duration = Duration::from_millis(400);
+
+/// A change of the endpoint list counts as notified at the latest this long after discovery had it and could
+/// be reached, and after the start of a watch's silence. Standing page, "Hundreds of gateways".
+pub const CHANGE_NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
+
+/// A change at a new address of discovery counts as notified this long after SIGHUP. Standing page, "Hundreds
+/// of gateways".
+pub const CHANGE_NOTIFIED_AFTER_MOVE: Duration = Duration::from_secs(4);
--- a/crates/nbd-gateway/src/event_loop.rs
+++ b/crates/nbd-gateway/src/event_loop.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::{mpsc, watch};
 use umbertray_clock::Clock;
+use umbertray_lifecycle::list_retry;
 use umbertray_routing::{
     BufferGuard, Input, Output, ReplyPart, RequestHandler, RequestId, SessionId, Settings, Snapshot, StoreId,
 };
@@ -106,7 +107,7 @@
         run_id: u64,
         events: mpsc::UnboundedSender<LoopEvent>,
     ) -> EventLoop {
-        let connect_timeout = settings.connect_timeout;
+        let connect_timeout = list_retry::connect_timeout(settings.connect_timeout);
         let connect = |service, address| {
             let (sender, messages) = mpsc::unbounded_channel();
             let context =
--- a/crates/routing/src/core/directory.rs
+++ b/crates/routing/src/core/directory.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use umbertray::interface::{Endpoint, EndpointListUpdate, Event, OpId, Outcome, StoreState};
+use umbertray_lifecycle::list_retry;
 use umbertray_store_protocol::list::{FromList, ListedStore, Location, ToList};
 use umbertray_store_protocol::store::{DataRange, OperationKind};
 
@@ -30,7 +31,8 @@
     fn schedule_query_retry(&mut self) {
         if self.locations.has_open_queries() && !self.retry_scheduled {
             self.retry_scheduled = true;
-            self.timers.set(self.now + self.settings.connect_timeout, Timer::RetryQueries);
+            let retry_at = self.now + list_retry::connect_timeout(self.settings.connect_timeout);
+            self.timers.set(retry_at, Timer::RetryQueries);
         }
     }
 
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use imbl::{HashMap, Vector};
+use umbertray_lifecycle::list_retry;
 use umbertray_store_protocol::store::OperationKind;
 
 /// Whether an operation may be executed more than once.
@@ -106,7 +107,8 @@
     pub key_pause: Duration,
     /// The retry budget, if one is configured.
     pub retry_budget: Option<RetryBudget>,
-    /// Time within which a failed subscription to the endpoint list is retried.
+    /// Time within which a failed subscription to the endpoint list is retried, within the limits of
+    /// [`list_retry`].
     pub poll_retry_interval: Duration,
     /// Units per second of all stores together, if known. Reservations must not exceed it.
     pub capacity: Option<f64>,
@@ -303,7 +305,7 @@
         put("rules.fall_multiple", rules.slow_start_multiple.to_string());
         put("rules.fall_time", seconds(rules.slow_start_window));
         put("rules.order_pause", seconds(rules.key_pause));
-        put("rules.ask_within", seconds(rules.poll_retry_interval));
+        put("rules.ask_within", seconds(list_retry::retry_interval(rules.poll_retry_interval)));
     }
 }
 
