--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -434,6 +434,37 @@
     assert!(fleet.sent_to(0, 0).contains(&OpId(9)));
 }
 
+/// Guards against ops that all wait for one of two suspected stores: it held attempts that hung, and was
+/// preferred by its rank until they timed out, while the other store of the shard would have responded.
+#[test]
+fn suspected_store_with_stuck_attempts_does_not_hide_the_other_one() {
+    let mut custom_settings = settings();
+    for op_type in 0..4 {
+        custom_settings.insert(format!("op_types.{op_type}.op_timeout"), "30".into());
+    }
+    let stores = [0, 1].map(|store| endpoint(store, 0, None, StoreState::Ready));
+    let mut fleet = TestFleet::with_settings(at(0), stores.to_vec(), custom_settings);
+    // Outcomes of attempts at each store, while the stores fail, while the first one has recovered, and from
+    // then on, when it never responds.
+    let outcomes = |step| match step {
+        0..5 => [Some(Outcome::Rejected), Some(Outcome::Reset)],
+        5..15 => [Some(Outcome::Succeeded), Some(Outcome::Reset)],
+        _ => [None, Some(Outcome::Succeeded)],
+    };
+    for step in 0..100 {
+        fleet.submit(0, Op { time_left: ms(30_000), ..op(step, step, 0) });
+        fleet.advance(ms(50));
+        for (id, attempt, _) in fleet.in_flight(0) {
+            let store = fleet.gateways[0].ops[&id].attempts[attempt].store;
+            if let Some(outcome) = outcomes(step)[store.0 as usize] {
+                fleet.finish_attempt(0, id, attempt, outcome);
+            }
+        }
+    }
+    let served = fleet.sent_to(0, 1).into_iter().filter(|id| id.0 >= 40).count();
+    assert!(served >= 50, "the second store serves most of 60 ops: {served}");
+}
+
 /// Responses that waited during a stall of this gateway must not make a fast store look slow or silent.
 #[test]
 fn stall_of_gateway_leaves_store_unsuspected() {
