Play every other configuration of the soak with polled endpoint lists

The soak's gateways only ever had pushed lists, so that polled ones met no fault but those of single tests.

Change: configurations with odd numbers poll, so that SIGHUP switches between both. The oracle's rules hold for both as they are.

--- a/crates/fault-tests/src/soak/process.rs
+++ b/crates/fault-tests/src/soak/process.rs
@@ -43,16 +43,18 @@
     number % 5 < 3
 }
 
-/// The configuration with this number. Configurations differ in deadlines and in the idle timeout.
+/// The configuration with this number. Configurations differ in deadlines, in the idle timeout, and in
+/// whether endpoint lists are pushed or polled.
 pub fn configuration(name: &str, listen: SocketAddr, discovery: SocketAddr, number: u32) -> String {
     let deadline = longest_deadline(number).as_secs_f64();
     let once = deadline.min(MAX_ONCE_DEADLINE.as_secs_f64());
     let objective = MAX_OBJECTIVE_SECONDS.min(deadline / 2.0);
     let idle = [20.0, 2.0, 6.0][number as usize % 3];
+    let delivery = ["automatic", "subscribe"][number as usize % 2];
     format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"0f",
         "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{{"rev":0,"all":true,"targets":[]}},
-        "settings":{{"discovery":"automatic","failureDomains":["a"],"groupSize":1,
+        "settings":{{"discovery":"{delivery}","failureDomains":["a"],"groupSize":1,
         "familyInfo":{{"coldUnits":400.0,"maxUnits":6,"meanUnits":2.0,"slotsTotal":{SHARDS},
         "writes":[false,true]}},
         "limits":{{"connIdleS":{idle:.1},"dialTimeoutS":0.25,"maxAttempts":3,"maxRetryAfterS":1.0}},
@@ -60,7 +62,7 @@
         {{"name":"look","promiseS":{objective},"deadlineS":{deadline:.1},"effect":"free","gain":3.0}},
         {{"name":"order","promiseS":{objective},"deadlineS":{once:.1},"effect":"single_shot","gain":3.0}}],
         "contracts":[{{"name":"basic","rate":5000.0,"weight":1.0}}],
-        "rules":{{"coldFrom":0.5,"coldS":1.0,"drainGraceS":1.0,"fallS":1.0,"tipMultiple":2.0}},
+        "rules":{{"askWithinS":10.0,"coldFrom":0.5,"coldS":1.0,"drainGraceS":1.0,"fallS":1.0,"tipMultiple":2.0}},
         "telemetry":{{"fields":["util"],"via":"answers"}},"tickS":0.002}}}}"#
     )
 }
