--- a/crates/http-gateway/src/watch/mod.rs
+++ b/crates/http-gateway/src/watch/mod.rs
@@ -72,10 +72,7 @@
     let mut slow = None;
     let mut next = None;
     if source.borrow().delivery == Delivery::Polled {
-        tokio::select! {
-            () = event_loop.watch_requested.notified() => {}
-            _ = source.changed() => {}
-        }
+        wait_for_request(&event_loop, &mut source).await;
     }
     loop {
         let DiscoverySource { address, delivery } = *source.borrow_and_update();
@@ -120,6 +117,14 @@
     }
 }
 
+/// Waits until the scheduler requests a watch, or until the source changes.
+async fn wait_for_request(event_loop: &EventLoop, source: &mut watch::Receiver<DiscoverySource>) {
+    tokio::select! {
+        () = event_loop.watch_requested.notified() => {}
+        _ = source.changed() => {}
+    }
+}
+
 /// A pseudo-random number from 0 to 1 for the jitter of a backoff.
 fn random_fraction(seed: u64, draws: u64) -> f64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/http-gateway/src/watch/tests.rs
+++ b/crates/http-gateway/src/watch/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the watch against a scripted discovery, in memory and in paused time.
 
+mod failing_discovery;
 mod outages;
 mod scripted_discovery;
 
--- a/crates/http-gateway/src/watch/tests/outages.rs
+++ b/crates/http-gateway/src/watch/tests/outages.rs
@@ -3,22 +3,20 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::future::pending;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use umbertray_clock::Clock;
 use umbertray_http_api::{Config, Core, Input, protocol};
 use umbertray_lifecycle::limits::CHANGE_NOTIFIED_WITHIN;
 
+use super::failing_discovery::{CALL_FAILURES, CHANGED_VERSION, CallFailure, FailingDiscovery};
 use super::in_paused_time;
-use super::scripted_discovery::{Behavior, CONFIG, MINUTE, STREAM, chunk, list, request};
+use super::scripted_discovery::{CONFIG, MINUTE};
 use crate::event_loop::EventLoop;
 use crate::resource_limits::ResourceLimits;
 use crate::watch::{DiscoverySource, follow, random_fraction};
@@ -27,39 +25,12 @@
 const SEEDS: u64 = 20;
 /// Interval between the turns of the core.
 const TURN_INTERVAL: Duration = Duration::from_millis(50);
-/// The version of the list until the end of the outage, and from then on.
-const VERSIONS: [u64; 2] = [1, 2];
 /// Numbers of draws that no watch reaches.
 const BEGIN_DRAW: u64 = u64::MAX;
 const DURATION_DRAW: u64 = u64::MAX - 1;
 /// The longest outage that is drawn; the waits of the watch no longer grow by then.
 const MAX_DURATION: Duration = Duration::from_secs(40);
 
-/// How a call of discovery fails.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum CallFailure {
-    /// The call is answered when the outage ends.
-    Held,
-    /// The call is accepted and never answered.
-    Lost,
-    /// The connection never comes up.
-    Stalled,
-    /// The connection is refused.
-    Refused,
-    /// The connection is closed at once.
-    Closed,
-}
-
-const CALL_FAILURES: [CallFailure; 5] =
-    [CallFailure::Held, CallFailure::Lost, CallFailure::Stalled, CallFailure::Refused, CallFailure::Closed];
-
-impl CallFailure {
-    /// Whether open watches are closed when the outage starts; otherwise they fall silent.
-    fn closes_watches(self) -> bool {
-        matches!(self, CallFailure::Refused | CallFailure::Closed)
-    }
-}
-
 /// An outage of discovery, and the gateway that goes through it.
 #[derive(Clone, Debug)]
 struct Outage {
@@ -85,92 +56,6 @@
     calls: Vec<Duration>,
 }
 
-/// The state of discovery.
-struct Discovery {
-    failure: CallFailure,
-    failures_after: RefCell<VecDeque<CallFailure>>,
-    starts_at: Instant,
-    ends_at: Instant,
-    calls: RefCell<Vec<Instant>>,
-}
-
-impl Discovery {
-    fn is_down(&self) -> bool {
-        (self.starts_at..self.ends_at).contains(&Instant::now())
-    }
-
-    /// How a call that begins now fails.
-    fn failure(&self) -> Option<CallFailure> {
-        if self.is_down() {
-            return Some(self.failure);
-        }
-        let is_over = Instant::now() >= self.ends_at;
-        is_over.then(|| self.failures_after.borrow_mut().pop_front()).flatten()
-    }
-
-    fn list(&self) -> String {
-        let is_changed = Instant::now() >= self.ends_at;
-        list(Behavior::ListThenHeartbeats(VERSIONS[usize::from(is_changed)]))
-    }
-
-    async fn connect(self: Rc<Discovery>) -> io::Result<DuplexStream> {
-        self.calls.borrow_mut().push(Instant::now());
-        let failure = self.failure();
-        match failure {
-            Some(CallFailure::Stalled) => return pending().await,
-            Some(CallFailure::Refused) => return Err(io::ErrorKind::ConnectionRefused.into()),
-            _ => {}
-        }
-        let (client, mut server) = tokio::io::duplex(1 << 20);
-        spawn_local(async move {
-            if failure != Some(CallFailure::Closed) {
-                _ = self.serve(&mut server, failure).await;
-            }
-        });
-        Ok(client)
-    }
-
-    async fn serve(&self, stream: &mut DuplexStream, failure: Option<CallFailure>) -> io::Result<()> {
-        loop {
-            let is_watch = request(stream).await?.contains("watch=1");
-            match failure {
-                Some(CallFailure::Lost) => return pending().await,
-                Some(_) => sleep_until(self.ends_at).await,
-                None => {}
-            }
-            let list = self.list();
-            if is_watch {
-                stream.write_all(format!("{STREAM}{}", chunk(&list)).as_bytes()).await?;
-                return self.send_heartbeats(stream).await;
-            }
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
-            stream.write_all((head + &list).as_bytes()).await?;
-        }
-    }
-
-    /// Sends heartbeats until the outage breaks the watch.
-    async fn send_heartbeats(&self, stream: &mut DuplexStream) -> io::Result<()> {
-        let breaks = async {
-            if Instant::now() >= self.starts_at {
-                return pending().await;
-            }
-            sleep_until(self.starts_at).await;
-        };
-        let heartbeats = async {
-            loop {
-                sleep(protocol::WATCH_HEARTBEAT_INTERVAL).await;
-                stream.write_all(chunk("").as_bytes()).await?;
-            }
-        };
-        tokio::select! {
-            biased;
-            () = breaks => {}
-            error = heartbeats => return error,
-        }
-        if self.failure.closes_watches() { Ok(()) } else { pending().await }
-    }
-}
-
 impl Outage {
     /// A pseudo-random outage.
     fn draw(seed: u64, discovery: &'static str, ask_within: f64, failure: CallFailure) -> Outage {
@@ -205,7 +90,7 @@
         let limits = ResourceLimits::from_config(&config).expect("limits");
         let event_loop = Rc::new(EventLoop::new(core, clock, limits));
         let starts_at = Instant::now() + self.begins_after;
-        let discovery = Rc::new(Discovery {
+        let discovery = Rc::new(FailingDiscovery {
             failure: self.failure,
             failures_after: RefCell::new(VecDeque::from(self.failures_after.clone())),
             starts_at,
@@ -232,7 +117,8 @@
 
 /// Runs turns of the core until the change is known.
 async fn run_turns(event_loop: Rc<EventLoop>, started: Duration, changed_at: Rc<Cell<Option<Instant>>>) {
-    let is_change = |input: &Input| matches!(input, Input::EndpointList(list) if list.version == VERSIONS[1]);
+    let is_change =
+        |input: &Input| matches!(input, Input::EndpointList(list) if list.version == CHANGED_VERSION);
     let begin = Instant::now();
     while !event_loop.has_posted(is_change) {
         event_loop.turn_at(started + begin.elapsed()).expect("the scheduler continues");
