Observe bytes on a faulty link of the soak when they are sent

The gateway's log shows that it wrote the attempt 10 ms after the client's last byte, with the right time; two attempts at that store, begun 56 ms apart on connections of their own, were answered in the same 0.1 ms, so the link was stalled or delayed.

Cause: the proxy read the next piece of a connection only after it had passed the former one on through the fault, and the record took that moment for when it was sent. A request in two pieces, as short writes make it, looks sent late. That this one was in two pieces is inferred, as pieces are not recorded.

Change: a connection is read ahead, up to 16 chunks, while the fault holds what was read; ends and errors keep their order. No rule, bound or slack of the oracle changes.

--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 /// A fault that a link injects into its traffic.
@@ -58,6 +58,8 @@
 
 /// Maximum number of bytes in one read.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of chunks that were read and not written yet, in one direction of a connection.
+const READ_AHEAD_CHUNKS: usize = 16;
 /// Size of the writes of a trickling link, in bytes.
 const TRICKLE_BYTES: usize = 64;
 /// Pause between the writes of a trickling link.
@@ -131,31 +133,66 @@
 
 /// Passes bytes in one direction until the end of the stream, then shuts down `writer`.
 async fn forward_bytes(
-    mut reader: ReadHalf<'_>,
-    mut writer: WriteHalf<'_>,
-    mut state: watch::Receiver<State>,
+    reader: ReadHalf<'_>,
+    writer: WriteHalf<'_>,
+    state: watch::Receiver<State>,
     tap: Option<Tap>,
     from_server: bool,
 ) -> io::Result<()> {
+    let (sender, chunks) = mpsc::channel(READ_AHEAD_CHUNKS);
+    let reading = async {
+        read_chunks(reader, tap, sender).await;
+        Ok(())
+    };
+    tokio::try_join!(reading, write_chunks(writer, chunks, state, from_server)).map(drop)
+}
+
+/// Reads chunks until the end of the stream, an error, or the end of the writer.
+///
+/// Hazard: the tap's observer records when bytes were sent, so a fault of the link must not delay reading.
+async fn read_chunks(mut reader: ReadHalf<'_>, tap: Option<Tap>, sender: mpsc::Sender<io::Result<Vec<u8>>>) {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let read = reader.read(&mut chunk).await?;
-        if let Some(tap) = tap.as_ref().filter(|_| read > 0) {
-            tap(&chunk[..read]);
+        let read = tokio::select! {
+            read = reader.read(&mut chunk) => read,
+            () = sender.closed() => return,
+        };
+        let bytes = read.map(|count| chunk[..count].to_vec());
+        if let (Some(tap), Ok(bytes)) = (&tap, &bytes)
+            && !bytes.is_empty()
+        {
+            tap(bytes);
         }
+        let is_last = bytes.as_ref().map_or(true, Vec::is_empty);
+        if sender.send(bytes).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+/// Writes chunks with the fault of the link; an empty one is the end of the stream.
+async fn write_chunks(
+    mut writer: WriteHalf<'_>,
+    mut chunks: mpsc::Receiver<io::Result<Vec<u8>>>,
+    mut state: watch::Receiver<State>,
+    from_server: bool,
+) -> io::Result<()> {
+    while let Some(chunk) = chunks.recv().await {
         _ = state.wait_for(|state| state.fault != LinkFault::Stall).await;
         let fault = state.borrow().fault;
         if let LinkFault::Delay(delay) = fault {
             tokio::time::sleep(delay).await;
         }
-        if read == 0 {
+        let chunk = chunk?;
+        if chunk.is_empty() {
             return writer.shutdown().await;
         }
-        write_with_fault(&mut writer, &chunk[..read], fault).await?;
+        write_with_fault(&mut writer, &chunk, fault).await?;
         if from_server && fault == LinkFault::HalfClose {
             return writer.shutdown().await;
         }
     }
+    Ok(())
 }
 
 async fn write_with_fault(writer: &mut WriteHalf<'_>, bytes: &[u8], fault: LinkFault) -> io::Result<()> {
