--- a/crates/fault-tests/src/soak/process.rs
+++ b/crates/fault-tests/src/soak/process.rs
@@ -62,7 +62,8 @@
         {{"name":"look","promiseS":{objective},"deadlineS":{deadline:.1},"effect":"free","gain":3.0}},
         {{"name":"order","promiseS":{objective},"deadlineS":{once:.1},"effect":"single_shot","gain":3.0}}],
         "contracts":[{{"name":"basic","rate":5000.0,"weight":1.0}}],
-        "rules":{{"askWithinS":10.0,"coldFrom":0.5,"coldS":1.0,"drainGraceS":1.0,"fallS":1.0,"tipMultiple":2.0}},
+        "rules":{{"askWithinS":10.0,
+        "coldFrom":0.5,"coldS":1.0,"drainGraceS":1.0,"fallS":1.0,"tipMultiple":2.0}},
         "telemetry":{{"fields":["util"],"via":"answers"}},"tickS":0.002}}}}"#
     )
 }
--- a/crates/http-gateway/src/backoff.rs
+++ b/crates/http-gateway/src/backoff.rs
@@ -190,8 +190,8 @@
     WATCH_HEARTBEAT_INTERVAL.mul_f64(ratio)
 }
 
-/// Maximum time from the last heartbeat until the last of `attempts` attempts starts, if all earlier ones time
-/// out.
+/// Maximum time from the last heartbeat until the last of `attempts` attempts starts, if all earlier ones
+/// time out.
 #[cfg(test)]
 pub(crate) fn last_attempt_begins_within(attempts: u32, delivery: Delivery) -> Duration {
     let wait = |n| ConsecutiveFailures(n).backoff_after_timeout(delivery);
--- a/crates/http-gateway/src/backoff/tests.rs
+++ b/crates/http-gateway/src/backoff/tests.rs
@@ -17,8 +17,8 @@
     }
 }
 
-/// The sum of all waits after an outage, for any number of failed attempts and watches, and for any failure at
-/// any time of an attempt.
+/// The sum of all waits after an outage, for any number of failed attempts and watches, and for any failure
+/// at any time of an attempt.
 #[test]
 fn two_lost_attempts_after_outage_leave_third_in_time() {
     for delivery in DELIVERIES {
--- a/crates/http-gateway/src/watch/tests/outages.rs
+++ b/crates/http-gateway/src/watch/tests/outages.rs
@@ -43,8 +43,8 @@
     begins_after: Duration,
     duration: Duration,
     failure: CallFailure,
-    /// How the first calls after the outage fail. At most one: the call that was begun in the outage may be lost
-    /// as well.
+    /// How the first calls after the outage fail. At most one: the call that was begun in the outage may be
+    /// lost as well.
     failures_after: Vec<CallFailure>,
 }
 
--- a/crates/lifecycle/src/list_retry.rs
+++ b/crates/lifecycle/src/list_retry.rs
@@ -10,8 +10,8 @@
 pub const MAX_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time from a failure until the next attempt.
 pub const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(1750);
-/// Minimum of the longest time from a failure until the next attempt: a shorter one would be a busy loop while
-/// connections are refused.
+/// Minimum of the longest time from a failure until the next attempt: a shorter one would be a busy loop
+/// while connections are refused.
 pub const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Timeout of a connection to the list service or to the coordinator, given the configured one for stores.
