Rank a store's load and stuck attempts in one place, and share the tests' discovery

The choice of a store spelled out the same pair in both of its branches; `load_rank` has it once, with the hazard.

--- a/crates/http-gateway/src/watch/tests/failing_discovery.rs
+++ b/crates/http-gateway/src/watch/tests/failing_discovery.rs
@@ -8,10 +8,9 @@
 
 use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
-use umbertray_http_api::protocol;
+use tokio::time::{Instant, sleep_until};
 
-use super::scripted_discovery::{Behavior, STREAM, chunk, list, request};
+use super::scripted_discovery::{Behavior, list, request, response, send_heartbeats};
 
 /// The version of the list until the end of the outage.
 const FIRST_VERSION: u64 = 1;
@@ -96,34 +95,25 @@
                 Some(_) => sleep_until(self.ends_at).await,
                 None => {}
             }
-            let list = self.list();
+            stream.write_all(response(is_watch, &self.list()).as_bytes()).await?;
             if is_watch {
-                stream.write_all(format!("{STREAM}{}", chunk(&list)).as_bytes()).await?;
-                return self.send_heartbeats(stream).await;
+                return self.keep_watch_open(stream).await;
             }
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
-            stream.write_all((head + &list).as_bytes()).await?;
         }
     }
 
     /// Sends heartbeats until the outage breaks the watch.
-    async fn send_heartbeats(&self, stream: &mut DuplexStream) -> io::Result<()> {
+    async fn keep_watch_open(&self, stream: &mut DuplexStream) -> io::Result<()> {
         let breaks = async {
             if Instant::now() >= self.starts_at {
                 return pending().await;
             }
             sleep_until(self.starts_at).await;
         };
-        let heartbeats = async {
-            loop {
-                sleep(protocol::WATCH_HEARTBEAT_INTERVAL).await;
-                stream.write_all(chunk("").as_bytes()).await?;
-            }
-        };
         tokio::select! {
             biased;
             () = breaks => {}
-            error = heartbeats => return error,
+            ended = send_heartbeats(stream) => return ended,
         }
         if self.failure.closes_watches() { Ok(()) } else { pending().await }
     }
--- a/crates/http-gateway/src/watch/tests/outages.rs
+++ b/crates/http-gateway/src/watch/tests/outages.rs
@@ -10,15 +10,13 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
-use umbertray_clock::Clock;
-use umbertray_http_api::{Config, Core, Input, protocol};
+use umbertray_http_api::{Config, Input, protocol};
 use umbertray_lifecycle::limits::CHANGE_NOTIFIED_WITHIN;
 
 use super::failing_discovery::{CALL_FAILURES, CHANGED_VERSION, CallFailure, FailingDiscovery};
 use super::in_paused_time;
-use super::scripted_discovery::{CONFIG, MINUTE};
+use super::scripted_discovery::{CONFIG, MINUTE, start_event_loop};
 use crate::event_loop::EventLoop;
-use crate::resource_limits::ResourceLimits;
 use crate::watch::{DiscoverySource, follow, random_fraction};
 
 /// Number of outages drawn for each way in which calls fail.
@@ -85,10 +83,7 @@
 
     async fn play(&self) -> Observed {
         let config = self.config();
-        let clock = Clock::start();
-        let core = Core::start(&config, clock.now()).expect("it starts");
-        let limits = ResourceLimits::from_config(&config).expect("limits");
-        let event_loop = Rc::new(EventLoop::new(core, clock, limits));
+        let event_loop = start_event_loop(&config);
         let starts_at = Instant::now() + self.begins_after;
         let discovery = Rc::new(FailingDiscovery {
             failure: self.failure,
@@ -98,7 +93,7 @@
             calls: RefCell::default(),
         });
         let changed_at = Rc::new(Cell::new(None));
-        let turns = spawn_local(run_turns(event_loop.clone(), clock.now(), changed_at.clone()));
+        let turns = spawn_local(run_turns(event_loop.clone(), changed_at.clone()));
         let connect = {
             let discovery = discovery.clone();
             async move |_: SocketAddr| discovery.clone().connect().await
@@ -116,10 +111,10 @@
 }
 
 /// Runs turns of the core until the change is known.
-async fn run_turns(event_loop: Rc<EventLoop>, started: Duration, changed_at: Rc<Cell<Option<Instant>>>) {
+async fn run_turns(event_loop: Rc<EventLoop>, changed_at: Rc<Cell<Option<Instant>>>) {
     let is_change =
         |input: &Input| matches!(input, Input::EndpointList(list) if list.version == CHANGED_VERSION);
-    let begin = Instant::now();
+    let (started, begin) = (event_loop.clock.now(), Instant::now());
     while !event_loop.has_posted(is_change) {
         event_loop.turn_at(started + begin.elapsed()).expect("the scheduler continues");
         sleep(TURN_INTERVAL).await;
--- a/crates/http-gateway/src/watch/tests/scripted_discovery.rs
+++ b/crates/http-gateway/src/watch/tests/scripted_discovery.rs
@@ -27,7 +27,7 @@
 const ADDRESS: &str = "127.0.0.1:9";
 /// Duration of a connect that succeeds late.
 const CONNECT_DELAY: Duration = Duration::from_millis(2700);
-pub(super) const STREAM: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const STREAM: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 pub(super) const CONFIG: &str = r#"{"name":"g0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"0f",
     "limits":{"cores":1.0,"memory_mb":64,"sockets":64},"known":{"rev":0,"all":true,"targets":[]},
     "settings":{"discovery":"automatic","failureDomains":["a"],"groupSize":1,
@@ -93,10 +93,7 @@
     /// of the waits may depend on another request.
     pub(super) fn new(delivery: Delivery, behaviors: &[Behavior]) -> TestWatch {
         let config = Config::parse(CONFIG).expect("a valid configuration");
-        let clock = Clock::start();
-        let core = Core::start(&config, clock.now()).expect("it starts");
-        let event_loop =
-            Rc::new(EventLoop::new(core, clock, ResourceLimits::from_config(&config).expect("limits")));
+        let event_loop = start_event_loop(&config);
         let (connects, silent_since) =
             (Rc::<RefCell<Vec<_>>>::default(), Rc::<Cell<Option<Instant>>>::default());
         let behaviors = Rc::new(RefCell::new(VecDeque::from(behaviors.to_vec())));
@@ -159,6 +156,14 @@
     }
 }
 
+/// An event loop whose turns do not run yet.
+pub(super) fn start_event_loop(config: &Config) -> Rc<EventLoop> {
+    let clock = Clock::start();
+    let core = Core::start(config, clock.now()).expect("it starts");
+    let limits = ResourceLimits::from_config(config).expect("limits");
+    Rc::new(EventLoop::new(core, clock, limits))
+}
+
 async fn serve_connection(
     mut stream: DuplexStream,
     behavior: Behavior,
@@ -179,8 +184,7 @@
         let text = match (is_watch, behavior) {
             (true, Behavior::HeartbeatsOnly) => STREAM.into(),
             (true, Behavior::WatchInvalid(_)) => format!("{STREAM}{}", chunk("{}")),
-            (true, _) => format!("{STREAM}{}", chunk(&list)),
-            (false, _) => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()),
+            _ => response(is_watch, &list),
         };
         match behavior {
             Behavior::ConnectStalled
@@ -208,10 +212,9 @@
         Behavior::ListThenEndlessLine(_) => loop {
             write_slowly(stream, b"1\r\n{\r\n", 6, TRICKLE_INTERVAL).await?;
         },
-        Behavior::ListThenHeartbeats(_) | Behavior::HeartbeatsOnly | Behavior::Slow(_) => loop {
-            sleep(protocol::WATCH_HEARTBEAT_INTERVAL).await;
-            stream.write_all(chunk("").as_bytes()).await?;
-        },
+        Behavior::ListThenHeartbeats(_) | Behavior::HeartbeatsOnly | Behavior::Slow(_) => {
+            send_heartbeats(stream).await
+        }
         _ => pending().await,
     }
 }
@@ -224,6 +227,23 @@
     Ok(text)
 }
 
+/// The response to a request of the list, or the beginning of the response to one of its watch.
+pub(super) fn response(is_watch: bool, list: &str) -> String {
+    if is_watch {
+        format!("{STREAM}{}", chunk(list))
+    } else {
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+    }
+}
+
+/// Sends heartbeats until the connection breaks.
+pub(super) async fn send_heartbeats(stream: &mut DuplexStream) -> io::Result<()> {
+    loop {
+        sleep(protocol::WATCH_HEARTBEAT_INTERVAL).await;
+        stream.write_all(chunk("").as_bytes()).await?;
+    }
+}
+
 async fn write_slowly(
     stream: &mut DuplexStream,
     bytes: &[u8],
@@ -237,7 +257,7 @@
     Ok(())
 }
 
-pub(super) fn chunk(line: &str) -> String {
+fn chunk(line: &str) -> String {
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
 }
 
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -27,17 +27,25 @@
             let volume = pending.op.volume_name;
             let rank = |store: &Store| stable_hash((volume, store.endpoint.shard));
             let eligible = self.stores.iter().filter(is_eligible);
-            let best =
-                eligible.min_by_key(|(_, store)| (self.load_steps(store), is_stuck(store), rank(store)));
+            let best = eligible.min_by_key(|(_, store)| (self.load_rank(store), rank(store)));
             return best.map(|(id, _)| id);
         };
         let eligible = self.stores.of_shard(shard).filter(is_eligible);
-        let best = eligible
-            .min_by_key(|(_, store)| (self.load_steps(store), is_stuck(store), store.endpoint.started_at));
+        let best = eligible.min_by_key(|(_, store)| (self.load_rank(store), store.endpoint.started_at));
         let newest = || self.stores.of_shard(shard).max_by_key(|(_, store)| store.endpoint.started_at);
         best.or_else(newest).map(|(id, _)| id)
     }
 
+    /// The load of a store, and whether it is stuck: the lower rank is preferred.
+    ///
+    /// Hazard: a suspected store may be sent nothing more until its attempts in flight time out. If it ranked
+    /// before another suspected store, the shard would not be served until then although the other one
+    /// responds.
+    fn load_rank(&self, store: &Store) -> (u64, bool) {
+        let is_stuck = store.outlier.is_suspected() && store.units_in_flight() > 0.0;
+        (self.load_steps(store), is_stuck)
+    }
+
     /// Queued and in-flight units in steps of `LOAD_STEP` limits; 0 below a full load. Suspected stores and
     /// stores in slow start rank last.
     fn load_steps(&self, store: &Store) -> u64 {
@@ -60,11 +68,3 @@
         draining_since.is_some_and(|since| self.now < since + grace)
     }
 }
-
-/// Whether the store is suspected and has not responded to the attempts in flight.
-///
-/// Hazard: such a store may be sent nothing more until these attempts time out. If it ranked before another
-/// suspected store, the shard would not be served until then although the other one responds.
-fn is_stuck(store: &Store) -> bool {
-    store.outlier.is_suspected() && store.units_in_flight() > 0.0
-}
