Admit a request in the moment of its check, so that one id is never open twice

A once-only one ran twice, and the second client got 200 in place of 409.

Cause: parse_request looked for the id among the pending requests, but an accepted request became pending only at the core's next turn, which takes all that was read meanwhile.

Change: Core::admit checks a request and makes it pending in one step; Input::Request only tells the next turn about it, so the order of the scheduler's events is as before. Ids are compared as numbers: the same id in capital letters is the same id.

Looked at on the way: NBD cookies are put in use by the parser itself, where the check is, so that path has no such gap.

--- a/crates/cli/tests/platform/bad_peers.rs
+++ b/crates/cli/tests/platform/bad_peers.rs
@@ -73,6 +73,32 @@
     assert_eq!(store.requests().len(), 1);
 }
 
+/// Guards against a once-only request that ran twice: of several requests with one id that were read in the
+/// same turn, each was forwarded.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_with_one_id_read_in_same_turn_run_once() {
+    const ROUNDS: u64 = 20;
+    const CLIENTS: usize = 4;
+    let (node, store, _discovery) =
+        Node::start_with_store(|_| StoreAction::WriteAfter(Duration::from_millis(20), ok("served"))).await;
+    for round in 0..ROUNDS {
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            clients.push(node.connect().await);
+        }
+        for client in &mut clients {
+            client.write(&op("order", 0, round, 2000)).await;
+        }
+        let mut statuses = Vec::new();
+        for client in &mut clients {
+            statuses.push(client.response().await.expect("a complete response").head.status);
+        }
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 409, 409, 409], "round {round}");
+        assert_eq!(store.requests().len() as u64, round + 1, "round {round}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn partial_request_and_silence_time_out() {
     let (node, _store, _discovery) = Node::start_with_store(|_| StoreAction::Hold).await;
--- a/crates/http-api/src/core.rs
+++ b/crates/http-api/src/core.rs
@@ -18,7 +18,7 @@
 use crate::active_settings::{ActiveSettings, SettingsError, StartError, comma_separated};
 use crate::config::Config;
 use crate::endpoint_list::EndpointList;
-use crate::messages::{AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input};
+use crate::messages::{AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input};
 use crate::outcomes::{header_number, may_have_run, parse_load_report, retry_reason, scheduler_outcome};
 use crate::pending::PendingRequests;
 use crate::protocol;
@@ -71,19 +71,38 @@
         Ok(core)
     }
 
-    /// Validates a request and converts it to an operation.
+    /// Validates a request and converts it to an operation, without admitting it.
     ///
     /// # Errors
     /// The request is not a valid operation, or an open operation has the same request id.
     pub fn parse_request(&self, request: &server::Request) -> Result<ClientRequest, RequestError> {
         let request = self.settings.request_parser.parse(request)?;
-        if self.pending.has_request_id(&request.id) {
+        if self.pending.has_request_id(request.id_number) {
             let message = format!("{}: an open request has this id", protocol::REQUEST_ID);
             return Err(RequestError { status: 409, message });
         }
         Ok(request)
     }
 
+    /// Admits a request as the operation that `client` waits for. [`Input::Request`] has to follow.
+    ///
+    /// Hazard: the next turn may come after further requests were read. Whatever they are checked against is
+    /// therefore changed here, and not in that turn.
+    ///
+    /// # Errors
+    /// The request is not a valid operation, or an open operation has the same request id.
+    pub fn admit(
+        &mut self,
+        client: ClientId,
+        request: &server::Request,
+    ) -> Result<AdmittedRequest, RequestError> {
+        let request = self.parse_request(request)?;
+        let ClientRequest { id, shard, time_left, .. } = &request;
+        let admitted = AdmittedRequest { id: id.clone(), shard: *shard, time_left: *time_left };
+        self.pending.add(client, request);
+        Ok(admitted)
+    }
+
     /// Whether any store is known that attempts can be sent to.
     pub fn endpoints_known(&self) -> bool {
         self.endpoints_known
@@ -171,7 +190,7 @@
 
     fn on_input(&mut self, input: Input) {
         match input {
-            Input::Request { client, request, started_at } => self.on_request(client, request, started_at),
+            Input::Request { client, started_at } => self.on_request(client, started_at),
             Input::ClientDisconnected(client) => self.on_client_disconnected(client),
             Input::AttemptFinished { attempt, outcome, finished_at } => {
                 self.on_attempt_finished(attempt, outcome, finished_at);
@@ -192,14 +211,15 @@
         }
     }
 
-    fn on_request(&mut self, client: ClientId, request: ClientRequest, started_at: Duration) {
-        let id = self.pending.allocate_id();
-        let volume = self.volume_id(request.volume);
+    fn on_request(&mut self, client: ClientId, started_at: Duration) {
+        let Some(id) = self.pending.op_of(client) else { return };
+        let Some(pending) = self.pending.get(id) else { return };
+        let request = &pending.request;
         let waited = self.now.saturating_sub(started_at);
         let op = Op {
             id,
             units: request.units,
-            volume,
+            volume: volume_id(&mut self.volume_ids, request.volume),
             volume_name: request.volume,
             key: (request.key != 0).then_some(request.key),
             shard: request.shard,
@@ -209,12 +229,6 @@
             gateways: request.gateways,
         };
         self.events.push(Event::OpArrived(op));
-        self.pending.add(id, client, request);
-    }
-
-    fn volume_id(&mut self, name: u64) -> VolumeId {
-        let next = VolumeId(self.volume_ids.len() as u32);
-        *self.volume_ids.entry(name).or_insert(next)
     }
 
     fn on_client_disconnected(&mut self, client: ClientId) {
@@ -352,6 +366,11 @@
     }
 }
 
+fn volume_id(ids: &mut HashMap<u64, VolumeId>, name: u64) -> VolumeId {
+    let next = VolumeId(ids.len() as u32);
+    *ids.entry(name).or_insert(next)
+}
+
 /// Encodes the request of an attempt for its store.
 ///
 /// Hazard: without the idempotency key, stores would execute a retry a second time (rule 2), and would not
--- a/crates/http-api/src/lib.rs
+++ b/crates/http-api/src/lib.rs
@@ -21,6 +21,6 @@
 pub use active_settings::{SettingsError, StartError};
 pub use config::Config;
 pub use core::Core;
-pub use messages::{AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input};
+pub use messages::{AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input};
 pub use request::{ClientRequest, RequestError};
 pub use umbertray::interface::{OpId, Settings, StoreId};
--- a/crates/http-api/src/messages.rs
+++ b/crates/http-api/src/messages.rs
@@ -9,7 +9,6 @@
 use umbertray_http::client;
 
 use crate::endpoint_list::EndpointList;
-use crate::request::ClientRequest;
 
 /// Identifies one request of one client connection. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -59,15 +58,24 @@
     }
 }
 
+/// What the caller has to know of an admitted request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmittedRequest {
+    /// The request id, in hexadecimal.
+    pub id: Box<str>,
+    /// The shard that holds the data; `None` for a new object.
+    pub shard: Option<u32>,
+    /// How long the client waits, counted from the first byte of the request.
+    pub time_left: Duration,
+}
+
 /// An input of the core. Times are since the Unix epoch, on the gateway's clock.
 #[derive(Debug)]
 pub enum Input {
-    /// A client's request was read completely and validated.
+    /// A client's request was admitted by [`Core::admit`](crate::Core::admit).
     Request {
         /// The client that waits for the response.
         client: ClientId,
-        /// The operation.
-        request: ClientRequest,
         /// When the first byte of the request was read. The client's waiting time counts from here.
         started_at: Duration,
     },
--- a/crates/http-api/src/pending.rs
+++ b/crates/http-api/src/pending.rs
@@ -1,6 +1,6 @@
 //! Open operations, each with the client that waits for it and its attempts in flight.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use umbertray::interface::{OpId, StoreId};
@@ -79,19 +79,19 @@
 /// All open operations.
 ///
 /// Invariant: `clients` and `request_ids` have an entry for each operation that has not ended, and for no
-/// other.
+/// other. An id is in use from the check that admits its request, without a gap (rule 2).
 #[derive(Default)]
 pub(crate) struct PendingRequests {
     requests: HashMap<OpId, PendingRequest>,
     clients: HashMap<ClientId, OpId>,
-    request_ids: BTreeSet<Box<str>>,
+    request_ids: HashSet<u64>,
     next_op: u32,
 }
 
 impl PendingRequests {
     /// Whether an operation that has not ended has this request id.
-    pub(crate) fn has_request_id(&self, id: &str) -> bool {
-        self.request_ids.contains(id)
+    pub(crate) fn has_request_id(&self, id: u64) -> bool {
+        self.request_ids.contains(&id)
     }
 
     /// Number of operations without a final response.
@@ -112,18 +112,13 @@
         self.requests.get_mut(&op)
     }
 
-    /// Allocates an id for a new operation.
-    pub(crate) fn allocate_id(&mut self) -> OpId {
-        let id = OpId(self.next_op);
+    /// Adds an operation, whose request id is in use from now on.
+    pub(crate) fn add(&mut self, client: ClientId, request: ClientRequest) {
+        let op = OpId(self.next_op);
         self.next_op = self.next_op.wrapping_add(1);
-        id
-    }
-
-    /// Adds an operation under its id.
-    pub(crate) fn add(&mut self, id: OpId, client: ClientId, request: ClientRequest) {
-        self.request_ids.insert(request.id.clone());
-        self.clients.insert(client, id);
-        self.requests.insert(id, PendingRequest::new(client, request));
+        self.request_ids.insert(request.id_number);
+        self.clients.insert(client, op);
+        self.requests.insert(op, PendingRequest::new(client, request));
     }
 
     /// Ends an operation because it has its final response or its client has disconnected. Returns its
@@ -132,7 +127,7 @@
         let Some(pending) = self.requests.get_mut(&op) else { return Vec::new() };
         if !pending.has_ended {
             pending.has_ended = true;
-            self.request_ids.remove(&pending.request.id);
+            self.request_ids.remove(&pending.request.id_number);
             self.clients.remove(&pending.client);
         }
         let in_flight = pending.in_flight.iter().map(|attempt| AttemptId { op, attempt: attempt.number });
--- a/crates/http-api/src/request.rs
+++ b/crates/http-api/src/request.rs
@@ -17,6 +17,8 @@
 pub struct ClientRequest {
     /// The request id, in hexadecimal.
     pub id: Box<str>,
+    /// The request id as a number, which is the same for upper and lower case digits.
+    pub id_number: u64,
     /// The idempotency key as sent by the client; `None` if the client sent none.
     pub idempotency_key: Option<Bytes>,
     /// HTTP method.
@@ -109,10 +111,10 @@
         let RequestPath { op_type, volume, key } = self.parse_path(&request.target)?;
         let plan = self.plan_position(required_header(request, protocol::PLAN)?)?;
         let id = required_header(request, protocol::REQUEST_ID)?;
-        if parse_hex(id).is_none() {
+        let Some(id_number) = parse_hex(id) else {
             let message = format!("{}: not {} hex digits", protocol::REQUEST_ID, protocol::HEX_DIGITS);
             return error(400, message);
-        }
+        };
         let Ok(idempotency_key) = request.headers.single(protocol::IDEMPOTENCY_KEY) else {
             return error(400, format!("{} stands more than once", protocol::IDEMPOTENCY_KEY));
         };
@@ -121,6 +123,7 @@
             self.parse_placement(required_header(request, protocol::PLACEMENT)?)?;
         Ok(ClientRequest {
             id: id.into(),
+            id_number,
             idempotency_key: idempotency_key.map(Bytes::copy_from_slice),
             method,
             target: request.target.clone(),
--- a/crates/http-api/tests/core.rs
+++ b/crates/http-api/tests/core.rs
@@ -98,11 +98,16 @@
     }
 
     fn submit(&mut self, request: &Request) -> (ClientId, Vec<Effect>) {
-        let operation = self.core.parse_request(request).expect("a request that is an op");
+        let client = self.admit(request).expect("a request that is an op");
+        let effects = self.handle(vec![Input::Request { client, started_at: self.now }]);
+        (client, effects)
+    }
+
+    /// Admits a request, which the next turn processes.
+    fn admit(&mut self, request: &Request) -> Result<ClientId, RequestError> {
         self.clients += 1;
         let client = ClientId(self.clients);
-        let effects = self.handle(vec![Input::Request { client, request: operation, started_at: self.now }]);
-        (client, effects)
+        self.core.admit(client, request).map(|_| client)
     }
 
     fn finish_attempt(&mut self, attempt: AttemptId, outcome: AttemptOutcome) -> Vec<Effect> {
@@ -268,6 +273,38 @@
     }
 }
 
+fn id_status(harness: &Harness, request: &Request) -> u16 {
+    harness.core.parse_request(request).map_or_else(|error| error.status, |_| 200)
+}
+
+/// Guards against a request that ran twice: its id was checked against the requests that earlier turns had
+/// processed, and two requests with one id were read in the same turn.
+#[test]
+fn id_is_in_use_before_turn_that_processes_its_request() {
+    let mut harness = Harness::new();
+    let first = harness.admit(&order(7)).expect("the first request with its id");
+    let second = harness.admit(&order(7)).expect_err("the second request with its id");
+    assert_eq!(second.status, 409);
+    let started_at = harness.now;
+    let effects = harness.handle(vec![
+        Input::Request { client: first, started_at },
+        Input::Request { client: ClientId(2), started_at },
+    ]);
+    assert_eq!(started_attempts(&effects).len(), 1);
+}
+
+/// Guards against an id that is used again before its client's disconnect or its response was processed.
+#[test]
+fn id_stays_in_use_when_client_disconnects_before_its_turn() {
+    let mut harness = Harness::new();
+    let client = harness.admit(&order(7)).expect("a request that is an op");
+    assert_eq!(id_status(&harness, &order(7)), 409);
+    let started_at = harness.now;
+    let inputs = vec![Input::Request { client, started_at }, Input::ClientDisconnected(client)];
+    assert!(started_attempts(&harness.handle(inputs)).is_empty());
+    assert_eq!(id_status(&harness, &order(7)), 200, "it was never sent");
+}
+
 #[test]
 fn duplicate_id_of_open_request_is_rejected() {
     let mut harness = Harness::new();
@@ -277,6 +314,16 @@
     assert!(harness.core.parse_request(&look(7)).is_ok());
 }
 
+/// Hexadecimal digits of either case are one id.
+#[test]
+fn id_in_upper_case_is_id_of_open_request() {
+    let mut harness = Harness::new();
+    harness.submit(&look(0xabc));
+    let id = format!("{:016X}", 0xabc);
+    let upper_case = request("GET", TARGET, &fields(&id, "units=2,shard=0,hosts=2"), "");
+    assert_eq!(id_status(&harness, &upper_case), 409);
+}
+
 #[test]
 fn attempt_carries_checked_request_and_response_carries_store_body() {
     let mut harness = Harness::new();
--- a/crates/http-api/tests/golden.rs
+++ b/crates/http-api/tests/golden.rs
@@ -50,9 +50,8 @@
     let mut core = core();
     let now = START + Duration::from_secs(2);
     core.handle(now, vec![]);
-    let operation = core.parse_request(request).expect("an operation");
-    let effects =
-        core.handle(now, vec![Input::Request { client: ClientId(1), request: operation, started_at: now }]);
+    core.admit(ClientId(1), request).expect("an operation");
+    let effects = core.handle(now, vec![Input::Request { client: ClientId(1), started_at: now }]);
     let sent = effects.iter().find_map(|effect| match effect {
         Effect::StartAttempt { attempt, .. } => Some(*attempt),
         _ => None,
@@ -95,8 +94,8 @@
         transcript.push_str(&format!("refused: {} {}\n", error.status, error.message));
     }
     let (mut core, example) = (core(), request("GET", READ, &fields, ""));
-    let operation = core.parse_request(&example).expect("an operation");
-    core.handle(START, vec![Input::Request { client: ClientId(1), request: operation, started_at: START }]);
+    core.admit(ClientId(1), &example).expect("an operation");
+    core.handle(START, vec![Input::Request { client: ClientId(1), started_at: START }]);
     let error = core.parse_request(&example).expect_err("an open request has this id");
     transcript.push_str(&format!("refused: {} {}\n", error.status, error.message));
 }
--- a/crates/http-gateway/src/client/responding.rs
+++ b/crates/http-gateway/src/client/responding.rs
@@ -8,11 +8,12 @@
 use tokio::time::{timeout, timeout_at};
 use umbertray_http::connection::{CloseDemand, Event, ResponseKind};
 use umbertray_http::server::{self, Request, RequestEvent};
-use umbertray_http_api::{FinalResponse, RequestError, protocol};
+use umbertray_http_api::{AdmittedRequest, FinalResponse, RequestError, protocol};
 use umbertray_lifecycle::reason::{CloseReason, RejectionReason};
 use umbertray_lifecycle::{connection, request};
 
 use super::{ClientConnection, PendingOp, PreparedResponse, if_ready};
+use crate::event_loop::SubmittedOp;
 use crate::response;
 
 /// HTTP status of a request whose id is already in use by an open request.
@@ -66,8 +67,11 @@
             self.prepared_response = PreparedResponse::Health(status);
             return Some(self.response_ready());
         }
-        let operation = match self.event_loop.parse_request(request) {
-            Ok(operation) => operation,
+        let SubmittedOp { client, request: admitted, response } = match self
+            .event_loop
+            .submit(request, self.request_started_at)
+        {
+            Ok(submitted) => submitted,
             Err(error) => {
                 let is_duplicate = error.status == DUPLICATE_ID;
                 let reason =
@@ -76,10 +80,7 @@
                 return Some(Event::RequestInvalid);
             }
         };
-        let id = operation.id.clone();
-        let shard = operation.shard;
-        let time_left = operation.time_left;
-        let (client, response) = self.event_loop.submit(operation, self.request_started_at);
+        let AdmittedRequest { id, shard, time_left } = admitted;
         let phase = self.event_loop.phase();
         tracing::debug!(
             connection_id = self.id, request_id = id, ?client, target = %request.target, shard,
--- a/crates/http-gateway/src/event_loop.rs
+++ b/crates/http-gateway/src/event_loop.rs
@@ -17,7 +17,7 @@
 use umbertray_clock::Clock;
 use umbertray_http::server::Request;
 use umbertray_http_api::{
-    AttemptId, AttemptOutcome, ClientId, ClientRequest, Config, Core, Effect, FinalResponse, Input,
+    AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Config, Core, Effect, FinalResponse, Input,
     RequestError, SettingsError, StoreId,
 };
 use umbertray_lifecycle::Counters;
@@ -63,6 +63,13 @@
     written: Rc<Cell<bool>>,
 }
 
+/// An operation that was admitted and awaits its final response.
+pub(crate) struct SubmittedOp {
+    pub(crate) client: ClientId,
+    pub(crate) request: AdmittedRequest,
+    pub(crate) response: oneshot::Receiver<FinalResponse>,
+}
+
 /// State shared by all tasks of the gateway.
 pub(crate) struct EventLoop {
     core: RefCell<Core>,
@@ -157,22 +164,18 @@
         self.wake.notify_one();
     }
 
-    /// Validates a request and converts it to an operation.
-    pub(crate) fn parse_request(&self, request: &Request) -> Result<ClientRequest, RequestError> {
-        self.core.borrow().parse_request(request)
-    }
-
-    /// Submits an operation. Its final response is sent through the returned channel.
+    /// Admits a request as an operation. Its final response is sent through the returned channel.
     pub(crate) fn submit(
         &self,
-        request: ClientRequest,
+        request: &Request,
         started_at: Duration,
-    ) -> (ClientId, oneshot::Receiver<FinalResponse>) {
+    ) -> Result<SubmittedOp, RequestError> {
         let client = ClientId(self.next_client.replace(self.next_client.get() + 1));
+        let request = self.core.borrow_mut().admit(client, request)?;
         let (sender, response) = oneshot::channel();
         self.waiting_clients.borrow_mut().insert(client, sender);
-        self.post(Input::Request { client, request, started_at });
-        (client, response)
+        self.post(Input::Request { client, started_at });
+        Ok(SubmittedOp { client, request, response })
     }
 
     /// Reports that a client disconnected while waiting for its response.
