Keep the id of a request that may have run, also when its client has left

What callers saw: a once-only request ran twice when its id came again after its client had left, and a request with the id of another client's request, which is not sound, was answered 200.

Cause: the id was forgotten in the moment of the disconnect (or of the final response), while the store still had the request or had run it.

Change: an id stays in use while an attempt is in flight, and after that for at least the longest op timeout if the request may have run; an id whose request never went out is free at once. The ids take a sixty-fourth of the memory at most. The oldest beyond that time are forgotten first; with none that old, new requests are rejected with a time to come back (counted as refusal.no_memory).

A check was wrong and is replaced: duplicate_id_of_open_request_is_rejected asserted that an id can be used again right after its response.

--- a/crates/cli/tests/platform/bad_peers.rs
+++ b/crates/cli/tests/platform/bad_peers.rs
@@ -99,6 +99,22 @@
     }
 }
 
+/// Guards against a once-only request that ran a second time when its id came again after its client had
+/// left: the id was forgotten although the store still had the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn id_of_request_whose_client_left_is_rejected() {
+    let (node, store, _discovery) = Node::start_with_store(|_| StoreAction::Hold).await;
+    let mut gone = node.connect().await;
+    gone.write(&op("order", 0, 7, 2000)).await;
+    within(5, "the request at the store", store.until(|seen| !seen.is_empty())).await;
+    drop(gone);
+    // In the first of these rounds the gateway may not have noticed the close yet.
+    for round in 0..50 {
+        assert_eq!(node.connect().await.request(&op("order", 0, 7, 2000)).await.0, 409, "round {round}");
+    }
+    assert_eq!(store.requests().len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn partial_request_and_silence_time_out() {
     let (node, _store, _discovery) = Node::start_with_store(|_| StoreAction::Hold).await;
--- a/crates/http-api/src/core.rs
+++ b/crates/http-api/src/core.rs
@@ -18,7 +18,10 @@
 use crate::active_settings::{ActiveSettings, SettingsError, StartError, comma_separated};
 use crate::config::Config;
 use crate::endpoint_list::EndpointList;
-use crate::messages::{AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input};
+use crate::messages::{
+    AdmissionError, AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input,
+    TableLimits,
+};
 use crate::outcomes::{header_number, may_have_run, parse_load_report, retry_reason, scheduler_outcome};
 use crate::pending::PendingRequests;
 use crate::protocol;
@@ -47,14 +50,14 @@
     ///
     /// # Errors
     /// The settings cannot be put in force.
-    pub fn start(config: &Config, now: Duration) -> Result<Core, StartError> {
+    pub fn start(config: &Config, table_limits: TableLimits, now: Duration) -> Result<Core, StartError> {
         let settings = ActiveSettings::new(&config.settings)?;
         let start = Event::Start { seed: config.seed, settings: settings.for_scheduler() };
         let mut core = Core {
             scheduler: Scheduler::default(),
             now,
             settings,
-            pending: PendingRequests::default(),
+            pending: PendingRequests::new(table_limits.request_ids),
             stores: Stores::new(comma_separated(&config.settings, "failure_domains")),
             endpoints_known: config
                 .cached_endpoints
@@ -74,10 +77,10 @@
     /// Validates a request and converts it to an operation, without admitting it.
     ///
     /// # Errors
-    /// The request is not a valid operation, or an open operation has the same request id.
+    /// The request is not a valid operation, or its request id is in use.
     pub fn parse_request(&self, request: &server::Request) -> Result<ClientRequest, RequestError> {
         let request = self.settings.request_parser.parse(request)?;
-        if self.pending.has_request_id(request.id_number) {
+        if self.pending.ids.contains(request.id_number) {
             let message = format!("{}: an open request has this id", protocol::REQUEST_ID);
             return Err(RequestError { status: 409, message });
         }
@@ -90,13 +93,18 @@
     /// therefore changed here, and not in that turn.
     ///
     /// # Errors
-    /// The request is not a valid operation, or an open operation has the same request id.
+    /// The request is not a valid operation, its request id is in use, or there is no capacity for it.
     pub fn admit(
         &mut self,
         client: ClientId,
         request: &server::Request,
-    ) -> Result<AdmittedRequest, RequestError> {
+        now: Duration,
+    ) -> Result<AdmittedRequest, AdmissionError> {
         let request = self.parse_request(request)?;
+        let retention = self.settings.request_parser.longest_deadline();
+        if !self.pending.ids.has_capacity(now, retention) {
+            return Err(AdmissionError::TooManyIds);
+        }
         let ClientRequest { id, shard, time_left, .. } = &request;
         let admitted = AdmittedRequest { id: id.clone(), shard: *shard, time_left: *time_left };
         self.pending.add(client, request);
@@ -170,6 +178,11 @@
         if is_hedged { Some(RetryReason::Hedged) } else { pending.last_outcome }
     }
 
+    /// Changes the maximum sizes of the tables. Entries in use stay.
+    pub fn set_table_limits(&mut self, limits: TableLimits) {
+        self.pending.ids.set_capacity(limits.request_ids);
+    }
+
     /// Puts new settings in force from the next turn on. Operation types and plans keep their positions,
     /// which open operations refer to.
     ///
@@ -331,7 +344,7 @@
 
     /// Ends an operation and cancels those of its attempts that have not been written completely.
     fn end(&mut self, op: OpId) {
-        let in_flight = self.pending.end(op);
+        let in_flight = self.pending.end(op, self.now);
         self.effects.extend(in_flight.into_iter().map(|attempt| Effect::CancelUnlessWritten { attempt }));
     }
 
--- a/crates/http-api/src/lib.rs
+++ b/crates/http-api/src/lib.rs
@@ -15,12 +15,16 @@
 mod pending;
 pub mod protocol;
 pub mod request;
+mod request_ids;
 mod stable_positions;
 mod stores;
 
 pub use active_settings::{SettingsError, StartError};
 pub use config::Config;
 pub use core::Core;
-pub use messages::{AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input};
+pub use messages::{
+    AdmissionError, AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Effect, FinalResponse, Input,
+    TableLimits,
+};
 pub use request::{ClientRequest, RequestError};
 pub use umbertray::interface::{OpId, Settings, StoreId};
--- a/crates/http-api/src/messages.rs
+++ b/crates/http-api/src/messages.rs
@@ -9,6 +9,7 @@
 use umbertray_http::client;
 
 use crate::endpoint_list::EndpointList;
+use crate::request::RequestError;
 
 /// Identifies one request of one client connection. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -69,6 +70,24 @@
     pub time_left: Duration,
 }
 
+/// A request that is not admitted.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum AdmissionError {
+    /// The request is not a valid operation, or its request id is in use.
+    #[error(transparent)]
+    Invalid(#[from] RequestError),
+    /// The request ids that must not be forgotten yet need all the memory for them.
+    #[error("too many request ids in use")]
+    TooManyIds,
+}
+
+/// Maximum sizes of the tables that grow with what clients send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableLimits {
+    /// Number of request ids in use.
+    pub request_ids: usize,
+}
+
 /// An input of the core. Times are since the Unix epoch, on the gateway's clock.
 #[derive(Debug)]
 pub enum Input {
--- a/crates/http-api/src/pending.rs
+++ b/crates/http-api/src/pending.rs
@@ -1,6 +1,6 @@
 //! Open operations, each with the client that waits for it and its attempts in flight.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use umbertray::interface::{OpId, StoreId};
@@ -8,6 +8,7 @@
 
 use crate::messages::{AttemptId, ClientId};
 use crate::request::ClientRequest;
+use crate::request_ids::RequestIds;
 
 /// An attempt that has not ended.
 pub(crate) struct InFlightAttempt {
@@ -78,20 +79,25 @@
 
 /// All open operations.
 ///
-/// Invariant: `clients` and `request_ids` have an entry for each operation that has not ended, and for no
-/// other. An id is in use from the check that admits its request, without a gap (rule 2).
-#[derive(Default)]
+/// Invariant: `clients` has an entry for each operation that has not ended, and for no other. `ids` has at
+/// least the ids of all operations in `requests`.
 pub(crate) struct PendingRequests {
     requests: HashMap<OpId, PendingRequest>,
     clients: HashMap<ClientId, OpId>,
-    request_ids: HashSet<u64>,
+    /// Request ids that a new request must not have.
+    pub(crate) ids: RequestIds,
     next_op: u32,
 }
 
 impl PendingRequests {
-    /// Whether an operation that has not ended has this request id.
-    pub(crate) fn has_request_id(&self, id: u64) -> bool {
-        self.request_ids.contains(&id)
+    /// Creates an empty set with the maximum number of request ids.
+    pub(crate) fn new(max_request_ids: usize) -> PendingRequests {
+        PendingRequests {
+            requests: HashMap::new(),
+            clients: HashMap::new(),
+            ids: RequestIds::new(max_request_ids),
+            next_op: 0,
+        }
     }
 
     /// Number of operations without a final response.
@@ -116,25 +122,33 @@
     pub(crate) fn add(&mut self, client: ClientId, request: ClientRequest) {
         let op = OpId(self.next_op);
         self.next_op = self.next_op.wrapping_add(1);
-        self.request_ids.insert(request.id_number);
+        self.ids.insert(request.id_number);
         self.clients.insert(client, op);
         self.requests.insert(op, PendingRequest::new(client, request));
     }
 
     /// Ends an operation because it has its final response or its client has disconnected. Returns its
     /// attempts in flight; the record is removed once there are none.
-    pub(crate) fn end(&mut self, op: OpId) -> Vec<AttemptId> {
+    pub(crate) fn end(&mut self, op: OpId, now: Duration) -> Vec<AttemptId> {
         let Some(pending) = self.requests.get_mut(&op) else { return Vec::new() };
         if !pending.has_ended {
             pending.has_ended = true;
-            self.request_ids.remove(&pending.request.id_number);
             self.clients.remove(&pending.client);
         }
         let in_flight = pending.in_flight.iter().map(|attempt| AttemptId { op, attempt: attempt.number });
         let in_flight: Vec<AttemptId> = in_flight.collect();
         if in_flight.is_empty() {
-            self.requests.remove(&op);
+            self.remove(op, now);
         }
         in_flight
     }
+
+    fn remove(&mut self, op: OpId, now: Duration) {
+        let Some(pending) = self.requests.remove(&op) else { return };
+        let id = pending.request.id_number;
+        match pending.may_have_run_since {
+            Some(_) => self.ids.retain(id, now),
+            None => self.ids.release(id),
+        }
+    }
 }
--- a/crates/http-api/src/request.rs
+++ b/crates/http-api/src/request.rs
@@ -90,6 +90,11 @@
 }
 
 impl RequestParser {
+    /// The longest time that any operation may take.
+    pub(crate) fn longest_deadline(&self) -> Duration {
+        self.op_types.iter().map(|op_type| op_type.deadline).max().unwrap_or_default()
+    }
+
     pub(crate) fn from_settings(settings: &Settings) -> Result<RequestParser, SettingsError> {
         let number = |name: &str| settings.get(name).and_then(|text| text.parse::<f64>().ok());
         let op_types =
--- a/crates/http-api/tests/core.rs
+++ b/crates/http-api/tests/core.rs
@@ -10,12 +10,14 @@
 use umbertray_http::{Limits, client};
 use umbertray_http_api::endpoint_list::{EndpointList, WatchEvent, WatchReader};
 use umbertray_http_api::{
-    AttemptId, AttemptOutcome, ClientId, Config, Core, Effect, FinalResponse, Input, RequestError,
+    AdmissionError, AttemptId, AttemptOutcome, ClientId, Config, Core, Effect, FinalResponse, Input,
+    RequestError, TableLimits,
 };
 use umbertray_lifecycle::reason::DenialReason;
 
 const LIMITS: Limits = Limits { head: 8192, body: 65536 };
 const START: Duration = Duration::from_secs(1_700_000_000);
+const TABLE_LIMITS: TableLimits = TableLimits { request_ids: 100 };
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -74,8 +76,11 @@
     fn with_stale_list(settings: &str, entries: &[String]) -> Harness {
         let known = list(1, true, entries);
         let config = Config::parse(&config(settings, &known)).expect("a valid configuration");
-        let mut harness =
-            Harness { core: Core::start(&config, START).expect("it starts"), now: START, clients: 0 };
+        let mut harness = Harness {
+            core: Core::start(&config, TABLE_LIMITS, START).expect("it starts"),
+            now: START,
+            clients: 0,
+        };
         harness.handle(vec![]);
         harness
     }
@@ -104,10 +109,10 @@
     }
 
     /// Admits a request, which the next turn processes.
-    fn admit(&mut self, request: &Request) -> Result<ClientId, RequestError> {
+    fn admit(&mut self, request: &Request) -> Result<ClientId, AdmissionError> {
         self.clients += 1;
         let client = ClientId(self.clients);
-        self.core.admit(client, request).map(|_| client)
+        self.core.admit(client, request, self.now).map(|_| client)
     }
 
     fn finish_attempt(&mut self, attempt: AttemptId, outcome: AttemptOutcome) -> Vec<Effect> {
@@ -201,7 +206,7 @@
 fn missing_or_unreadable_configuration_is_named_in_error() {
     let complete = config(SETTINGS, &list(1, true, &[]));
     let error_of = |from: &str, to: &str| match Config::parse(&complete.replace(from, to)) {
-        Ok(config) => Core::start(&config, START).err().expect("it must not start").to_string(),
+        Ok(config) => Core::start(&config, TABLE_LIMITS, START).err().expect("it must not start").to_string(),
         Err(error) => error.to_string(),
     };
     assert!(error_of(r#""seed":"#, r#""sead":"#).contains("`seed`"));
@@ -273,6 +278,9 @@
     }
 }
 
+/// The longest deadline of the settings, for which the id of an executed request stays in use.
+const ID_RETENTION: Duration = Duration::from_secs(1);
+
 fn id_status(harness: &Harness, request: &Request) -> u16 {
     harness.core.parse_request(request).map_or_else(|error| error.status, |_| 200)
 }
@@ -284,7 +292,7 @@
     let mut harness = Harness::new();
     let first = harness.admit(&order(7)).expect("the first request with its id");
     let second = harness.admit(&order(7)).expect_err("the second request with its id");
-    assert_eq!(second.status, 409);
+    assert!(matches!(second, AdmissionError::Invalid(RequestError { status: 409, .. })), "{second}");
     let started_at = harness.now;
     let effects = harness.handle(vec![
         Input::Request { client: first, started_at },
@@ -305,13 +313,33 @@
     assert_eq!(id_status(&harness, &order(7)), 200, "it was never sent");
 }
 
+/// A client uses a new id for each request (protocol page, "Clients to gateways"). The id of a request that
+/// was executed is in use until no client can be waiting for it any more, and longer while there is capacity.
 #[test]
-fn duplicate_id_of_open_request_is_rejected() {
+fn id_of_executed_request_is_rejected() {
     let mut harness = Harness::new();
     let (_, effects) = harness.submit(&look(7));
-    assert_eq!(harness.core.parse_request(&look(7)).expect_err("an open request has this id").status, 409);
-    harness.finish_attempt(started_attempts(&effects)[0].0, ok());
-    assert!(harness.core.parse_request(&look(7)).is_ok());
+    assert_eq!(id_status(&harness, &look(7)), 409);
+    let attempt = started_attempts(&effects)[0].0;
+    harness.core.start_attempt(attempt, harness.now).expect("it may begin");
+    harness.finish_attempt(attempt, ok());
+    assert_eq!(id_status(&harness, &look(7)), 409);
+    harness.advance(2 * ID_RETENTION);
+    assert_eq!(id_status(&harness, &look(7)), 409);
+}
+
+/// Guards against a once-only request that ran twice: its id was forgotten with its client, while the store
+/// could still execute it.
+#[test]
+fn id_of_disconnected_client_is_rejected_while_store_may_execute_request() {
+    let mut harness = Harness::new();
+    let (client, effects) = harness.submit(&order(7));
+    let attempt = started_attempts(&effects)[0].0;
+    harness.core.start_attempt(attempt, harness.now).expect("it may begin");
+    harness.handle(vec![Input::ClientDisconnected(client)]);
+    assert_eq!(id_status(&harness, &order(7)), 409);
+    harness.finish_attempt(attempt, AttemptOutcome::TimedOut);
+    assert_eq!(id_status(&harness, &order(7)), 409);
 }
 
 /// Hexadecimal digits of either case are one id.
@@ -324,6 +352,31 @@
     assert_eq!(id_status(&harness, &upper_case), 409);
 }
 
+/// With all capacity in use, a new id is rejected until an old one has been retained for long enough; then
+/// the oldest one is forgotten.
+#[test]
+fn ids_beyond_capacity_are_rejected_until_oldest_is_forgotten() {
+    let mut harness = Harness::new();
+    for n in 0..TABLE_LIMITS.request_ids as u64 {
+        harness.admit(&order(n)).expect("within capacity");
+        let client = ClientId(harness.clients);
+        let effects = harness.handle(vec![Input::Request { client, started_at: harness.now }]);
+        match started_attempts(&effects).first() {
+            Some((attempt, _)) => {
+                harness.core.start_attempt(*attempt, harness.now).expect("it may begin");
+                harness.finish_attempt(*attempt, ok());
+            }
+            None => panic!("attempt {n} is not started"),
+        }
+        harness.advance(ms(1));
+    }
+    assert_eq!(harness.admit(&order(1000)), Err(AdmissionError::TooManyIds));
+    harness.advance(ID_RETENTION);
+    assert_eq!(id_status(&harness, &order(0)), 409, "remembered while there is no need to forget it");
+    harness.admit(&order(1000)).expect("the oldest id is forgotten");
+    assert_eq!((id_status(&harness, &order(0)), id_status(&harness, &order(1))), (200, 409));
+}
+
 #[test]
 fn attempt_carries_checked_request_and_response_carries_store_body() {
     let mut harness = Harness::new();
--- a/crates/http-api/tests/golden.rs
+++ b/crates/http-api/tests/golden.rs
@@ -10,7 +10,7 @@
 use umbertray_http::client;
 use umbertray_http::server::{Request, RequestEvent, RequestReader};
 use umbertray_http_api::endpoint_list::{EndpointList, WatchEvent, WatchReader};
-use umbertray_http_api::{ClientId, Config, Core, Effect, Input, protocol};
+use umbertray_http_api::{ClientId, Config, Core, Effect, Input, TableLimits, protocol};
 
 const RECORDED: &str = include_str!("golden/http.txt");
 const CONFIGURATION: &str = include_str!("golden/configuration.json");
@@ -26,7 +26,7 @@
 
 fn core() -> Core {
     let configuration = Config::parse(CONFIGURATION).expect("a valid configuration");
-    let mut core = Core::start(&configuration, START).expect("it starts");
+    let mut core = Core::start(&configuration, TableLimits { request_ids: 100 }, START).expect("it starts");
     core.handle(START, vec![]);
     core
 }
@@ -50,7 +50,7 @@
     let mut core = core();
     let now = START + Duration::from_secs(2);
     core.handle(now, vec![]);
-    core.admit(ClientId(1), request).expect("an operation");
+    core.admit(ClientId(1), request, now).expect("an operation");
     let effects = core.handle(now, vec![Input::Request { client: ClientId(1), started_at: now }]);
     let sent = effects.iter().find_map(|effect| match effect {
         Effect::StartAttempt { attempt, .. } => Some(*attempt),
@@ -94,7 +94,7 @@
         transcript.push_str(&format!("refused: {} {}\n", error.status, error.message));
     }
     let (mut core, example) = (core(), request("GET", READ, &fields, ""));
-    core.admit(ClientId(1), &example).expect("an operation");
+    core.admit(ClientId(1), &example, START).expect("an operation");
     core.handle(START, vec![Input::Request { client: ClientId(1), started_at: START }]);
     let error = core.parse_request(&example).expect_err("an open request has this id");
     transcript.push_str(&format!("refused: {} {}\n", error.status, error.message));
--- a/crates/http-gateway/src/client/responding.rs
+++ b/crates/http-gateway/src/client/responding.rs
@@ -8,7 +8,7 @@
 use tokio::time::{timeout, timeout_at};
 use umbertray_http::connection::{CloseDemand, Event, ResponseKind};
 use umbertray_http::server::{self, Request, RequestEvent};
-use umbertray_http_api::{AdmittedRequest, FinalResponse, RequestError, protocol};
+use umbertray_http_api::{AdmissionError, AdmittedRequest, FinalResponse, RequestError, protocol};
 use umbertray_lifecycle::reason::{CloseReason, RejectionReason};
 use umbertray_lifecycle::{connection, request};
 
@@ -67,19 +67,11 @@
             self.prepared_response = PreparedResponse::Health(status);
             return Some(self.response_ready());
         }
-        let SubmittedOp { client, request: admitted, response } = match self
-            .event_loop
-            .submit(request, self.request_started_at)
-        {
-            Ok(submitted) => submitted,
-            Err(error) => {
-                let is_duplicate = error.status == DUPLICATE_ID;
-                let reason =
-                    if is_duplicate { RejectionReason::DuplicateId } else { RejectionReason::NotAnOperation };
-                self.prepared_response = PreparedResponse::Error(error, reason);
-                return Some(Event::RequestInvalid);
-            }
-        };
+        let SubmittedOp { client, request: admitted, response } =
+            match self.event_loop.submit(request, self.request_started_at) {
+                Ok(submitted) => submitted,
+                Err(error) => return Some(self.not_admitted(error)),
+            };
         let AdmittedRequest { id, shard, time_left } = admitted;
         let phase = self.event_loop.phase();
         tracing::debug!(
@@ -92,6 +84,26 @@
         None
     }
 
+    /// Prepares the response to a request that is not admitted.
+    fn not_admitted(&mut self, error: AdmissionError) -> Event {
+        match error {
+            AdmissionError::Invalid(error) => {
+                let is_duplicate = error.status == DUPLICATE_ID;
+                let reason =
+                    if is_duplicate { RejectionReason::DuplicateId } else { RejectionReason::NotAnOperation };
+                self.prepared_response = PreparedResponse::Error(error, reason);
+                Event::RequestInvalid
+            }
+            AdmissionError::TooManyIds => {
+                self.event_loop.counters.count(RejectionReason::NoMemory);
+                tracing::debug!(connection_id = self.id, %error, "request rejected");
+                let retry_after = self.event_loop.limits().retry_after;
+                self.prepared_response = PreparedResponse::Final(FinalResponse::Rejected { retry_after });
+                self.response_ready()
+            }
+        }
+    }
+
     /// The response status if the request is a health check; `None` for any other request.
     pub(super) fn health_status(&self, request: &Request) -> Option<u16> {
         match (&*request.method, &*request.target) {
--- a/crates/http-gateway/src/event_loop.rs
+++ b/crates/http-gateway/src/event_loop.rs
@@ -17,8 +17,8 @@
 use umbertray_clock::Clock;
 use umbertray_http::server::Request;
 use umbertray_http_api::{
-    AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Config, Core, Effect, FinalResponse, Input,
-    RequestError, SettingsError, StoreId,
+    AdmissionError, AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Config, Core, Effect,
+    FinalResponse, Input, SettingsError, StoreId,
 };
 use umbertray_lifecycle::Counters;
 use umbertray_lifecycle::reason::{DenialReason, RetryReason, StoreCloseReason};
@@ -152,7 +152,10 @@
     /// that has begun keeps the deadlines that it was given.
     pub(crate) fn reconfigure(&self, config: &Config) -> Result<(), ReconfigureError> {
         let limits = ResourceLimits::from_config(config)?;
-        self.core.borrow_mut().reconfigure(&config.settings)?;
+        let mut core = self.core.borrow_mut();
+        core.reconfigure(&config.settings)?;
+        core.set_table_limits(limits.tables);
+        drop(core);
         self.limits.send_replace(limits);
         self.wake.notify_one();
         Ok(())
@@ -169,9 +172,9 @@
         &self,
         request: &Request,
         started_at: Duration,
-    ) -> Result<SubmittedOp, RequestError> {
+    ) -> Result<SubmittedOp, AdmissionError> {
         let client = ClientId(self.next_client.replace(self.next_client.get() + 1));
-        let request = self.core.borrow_mut().admit(client, request)?;
+        let request = self.core.borrow_mut().admit(client, request, self.clock.now())?;
         let (sender, response) = oneshot::channel();
         self.waiting_clients.borrow_mut().insert(client, sender);
         self.post(Input::Request { client, started_at });
--- a/crates/http-gateway/src/lib.rs
+++ b/crates/http-gateway/src/lib.rs
@@ -135,8 +135,8 @@
     let mut signals = Signals::install()?;
     let mut config = read_config(&file)?;
     let clock = Clock::start();
-    let core = Core::start(&config, clock.now())?;
     let limits = ResourceLimits::from_config(&config)?;
+    let core = Core::start(&config, limits.tables, clock.now())?;
     let listen_error = |error| GatewayError::Listen { address: config.listen, error };
     let listener = TcpListener::bind(config.listen).await.map_err(listen_error)?;
     let address = listener.local_addr().map_err(listen_error)?;
--- a/crates/http-gateway/src/resource_limits.rs
+++ b/crates/http-gateway/src/resource_limits.rs
@@ -5,7 +5,7 @@
 use umbertray_http::Limits;
 use umbertray_http_api::Settings;
 use umbertray_http_api::config::duration_setting;
-use umbertray_http_api::{Config, protocol};
+use umbertray_http_api::{Config, TableLimits, protocol};
 use umbertray_lifecycle::{SettingsTimes, Timeouts};
 
 /// Fraction of the file descriptors for client connections. The fractions below leave the rest to the
@@ -34,6 +34,11 @@
 /// times as much.
 const LIST_MEMORY: f64 = 1.0 / 16.0;
 
+/// Fraction of the memory for the request ids in use.
+const REQUEST_IDS_MEMORY: f64 = 1.0 / 64.0;
+/// Memory of one request id in use, with the unused part of the tables that hold it.
+const REQUEST_ID_BYTES: usize = 96;
+
 /// Limits cannot be derived from the configuration.
 #[derive(Debug, thiserror::Error)]
 pub enum LimitsError {
@@ -68,6 +73,8 @@
     pub(crate) store_connections: usize,
     /// Maximum number of connections to a single store.
     pub(crate) single_store_connections: usize,
+    /// Maximum sizes of the core's tables.
+    pub(crate) tables: TableLimits,
     /// Timeouts.
     pub(crate) timeouts: Timeouts,
 }
@@ -102,6 +109,7 @@
             retry_after: max_retry_after.min(shortest_objective),
             store_connections,
             single_store_connections: fraction_of(store_connections, SINGLE_STORE),
+            tables: TableLimits { request_ids: fraction_of(memory, REQUEST_IDS_MEMORY) / REQUEST_ID_BYTES },
             timeouts,
         })
     }
--- a/crates/http-gateway/src/watch/tests/scripted_discovery.rs
+++ b/crates/http-gateway/src/watch/tests/scripted_discovery.rs
@@ -159,8 +159,8 @@
 /// An event loop whose turns do not run yet.
 pub(super) fn start_event_loop(config: &Config) -> Rc<EventLoop> {
     let clock = Clock::start();
-    let core = Core::start(config, clock.now()).expect("it starts");
     let limits = ResourceLimits::from_config(config).expect("limits");
+    let core = Core::start(config, limits.tables, clock.now()).expect("it starts");
     Rc::new(EventLoop::new(core, clock, limits))
 }
 
--- a/crates/lifecycle/src/reason.rs
+++ b/crates/lifecycle/src/reason.rs
@@ -144,6 +144,8 @@
         RequestReadTimeout = "request_read_timeout",
         /// There is no capacity for its connection.
         NoCapacity = "no_capacity",
+        /// There is no memory for it.
+        NoMemory = "no_memory",
         /// The process is shutting down.
         Draining = "draining",
     }
