Apply a list that was received before an attempt starts at its stores

An attempt asks the core for its bytes once its connection is up; a list of stores that the watch had received by then was still in the queue for the next turn. An attempt could begin at a store that the gateway had just been told is gone.

Change: an attempt whose connection is up waits for the turn if, and only if, a list is queued.

Evidence: attempt_does_not_start_at_store_that_queued_list_removes; before the change the store got the request ("64 bytes"). The other checks that are made between turns ask state that changes at once: a disconnect (waiting_clients), settings, pools, the memory for responses, the connections of clients.

--- a/crates/http-gateway/src/attempt.rs
+++ b/crates/http-gateway/src/attempt.rs
@@ -92,6 +92,8 @@
     written: &Cell<bool>,
 ) -> Result<PooledConnection<'a>, AttemptOutcome> {
     let mut connection = event_loop.pools.acquire(address).await.ok_or(AttemptOutcome::NeverWritten)?;
+    // Hazard: a list that was received and not applied yet may remove the store (rule 3).
+    event_loop.queued_list_applied().await;
     let bytes = match event_loop.start_attempt(attempt) {
         Ok(bytes) => bytes,
         Err(reason) => {
--- a/crates/http-gateway/src/event_loop.rs
+++ b/crates/http-gateway/src/event_loop.rs
@@ -75,6 +75,10 @@
     core: RefCell<Core>,
     /// Inputs for the next turn.
     inputs: RefCell<Vec<Input>>,
+    /// Whether `inputs` contains an endpoint list.
+    has_queued_list: Cell<bool>,
+    /// Notified when a turn has ended.
+    turn_ended: Notify,
     wake: Notify,
     waiting_clients: RefCell<HashMap<ClientId, oneshot::Sender<FinalResponse>>>,
     attempts: RefCell<HashMap<AttemptId, RunningAttempt>>,
@@ -107,6 +111,8 @@
         EventLoop {
             core: RefCell::new(core),
             inputs: RefCell::default(),
+            has_queued_list: Cell::new(false),
+            turn_ended: Notify::new(),
             wake: Notify::new(),
             waiting_clients: RefCell::default(),
             attempts: RefCell::default(),
@@ -163,6 +169,9 @@
 
     /// Queues an input for the next turn of the core, which processes all queued inputs together.
     pub(crate) fn post(&self, input: Input) {
+        if matches!(input, Input::EndpointList(_)) {
+            self.has_queued_list.set(true);
+        }
         self.inputs.borrow_mut().push(input);
         self.wake.notify_one();
     }
@@ -187,6 +196,13 @@
         self.post(Input::ClientDisconnected(client));
     }
 
+    /// Returns once no endpoint list waits for the next turn.
+    pub(crate) async fn queued_list_applied(&self) {
+        while self.has_queued_list.get() {
+            self.turn_ended.notified().await;
+        }
+    }
+
     /// The encoded request of an attempt whose connection is established, or the reason why it must not
     /// start.
     ///
@@ -255,8 +271,11 @@
     /// Processes the queued inputs and the timers that are due at `now`.
     pub(crate) fn turn_at(self: &Rc<EventLoop>, now: Duration) -> Result<(), FatalError> {
         let inputs = self.inputs.take();
+        self.has_queued_list.set(false);
         let effects = self.core.borrow_mut().handle(now, inputs);
-        effects.into_iter().try_for_each(|effect| self.apply(effect))
+        let applied = effects.into_iter().try_for_each(|effect| self.apply(effect));
+        self.turn_ended.notify_waiters();
+        applied
     }
 
     fn apply(self: &Rc<EventLoop>, effect: Effect) -> Result<(), FatalError> {
@@ -361,3 +380,6 @@
         yield_now().await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http-gateway/src/watch/mod.rs
+++ b/crates/http-gateway/src/watch/mod.rs
@@ -3,7 +3,7 @@
 mod attempt;
 mod error;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod transfer;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/http-gateway/src/watch/tests.rs
+++ b/crates/http-gateway/src/watch/tests.rs
@@ -2,7 +2,7 @@
 
 mod failing_discovery;
 mod outages;
-mod scripted_discovery;
+pub(crate) mod scripted_discovery;
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/http-gateway/src/watch/tests/scripted_discovery.rs
+++ b/crates/http-gateway/src/watch/tests/scripted_discovery.rs
@@ -28,7 +28,7 @@
 /// Duration of a connect that succeeds late.
 const CONNECT_DELAY: Duration = Duration::from_millis(2700);
 const STREAM: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-pub(super) const CONFIG: &str = r#"{"name":"g0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"0f",
+pub(crate) const CONFIG: &str = r#"{"name":"g0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"0f",
     "limits":{"cores":1.0,"memory_mb":64,"sockets":64},"known":{"rev":0,"all":true,"targets":[]},
     "settings":{"discovery":"automatic","failureDomains":["a"],"groupSize":1,
     "familyInfo":{"coldUnits":4.0,"maxUnits":6,"meanUnits":2.0,"slotsTotal":4,"writes":[false]},
@@ -157,7 +157,7 @@
 }
 
 /// An event loop whose turns do not run yet.
-pub(super) fn start_event_loop(config: &Config) -> Rc<EventLoop> {
+pub(crate) fn start_event_loop(config: &Config) -> Rc<EventLoop> {
     let clock = Clock::start();
     let limits = ResourceLimits::from_config(config).expect("limits");
     let core = Core::start(config, limits.tables, clock.now()).expect("it starts");
