--- /dev/null
+++ b/crates/cli/tests/overload/memory.rs
@@ -0,0 +1,70 @@
+//! Clients by hundreds that let the gateway hold as much as they can.
+
+use std::time::Duration;
+
+use crate::bad_clients::{BODY, crowd, head};
+use crate::world::Expected::{Answered, Served};
+use crate::world::assert_held_at_all_limits;
+
+const SMALL_RESPONSE: usize = 200;
+const FAST: Duration = Duration::from_millis(2);
+
+/// Time for which a client that sends nothing more waits between two looks.
+const NEVER: Duration = Duration::from_secs(60);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_stopped_at_half_are_held_within_memory() {
+    let first = |id| [head(id, BODY), vec![b'x'; BODY - 1]].concat();
+    assert_held_at_all_limits("bodies stopped at half", FAST, SMALL_RESPONSE, Served, async |world| {
+        crowd(world.node.address, world.crowd(), first, b"", NEVER).await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_sent_byte_by_byte_are_held_within_memory() {
+    let first = |id| [head(id, BODY), vec![b'x'; BODY / 2]].concat();
+    assert_held_at_all_limits("bodies byte by byte", FAST, SMALL_RESPONSE, Served, async |world| {
+        crowd(world.node.address, world.crowd(), first, b"x", Duration::from_millis(10)).await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_of_many_short_fields_are_held_within_memory() {
+    let first = |id| {
+        let head = String::from_utf8(head(id, BODY)).expect("text");
+        let fields: String = (0..50).map(|n| format!("a{n}:\r\n")).collect();
+        let head = head.replace("\r\n\r\n", &format!("\r\n{fields}\r\n"));
+        [head.into_bytes(), vec![b'x'; BODY / 2]].concat()
+    };
+    assert_held_at_all_limits("heads of many short fields", FAST, SMALL_RESPONSE, Served, async |world| {
+        crowd(world.node.address, world.crowd(), first, b"", NEVER).await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_sent_field_by_field_are_held_within_memory() {
+    let first = |_| b"PUT / HTTP/1.1\r\nHost: x\r\n".to_vec();
+    assert_held_at_all_limits("heads field by field", FAST, SMALL_RESPONSE, Served, async |world| {
+        crowd(world.node.address, world.crowd(), first, b"a:\r\n", Duration::from_millis(5)).await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_requests_at_slow_store_are_held_within_memory() {
+    let first = |id| [head(id, BODY), vec![b'x'; BODY]].concat();
+    let slow = Duration::from_millis(100);
+    assert_held_at_all_limits(
+        "large requests at a slow store",
+        slow,
+        SMALL_RESPONSE,
+        Answered,
+        async |world| {
+            crowd(world.node.address, world.crowd(), first, b"", NEVER).await;
+        },
+    )
+    .await;
+}
--- a/crates/cli/tests/platform/common.rs
+++ b/crates/cli/tests/platform/common.rs
@@ -136,11 +136,15 @@
 
     /// Kilobytes of anonymous resident memory.
     pub(crate) fn resident_kilobytes(&self) -> u64 {
+        self.status_kilobytes("RssAnon:")
+    }
+
+    /// A size in kilobytes that the kernel reports of the process.
+    pub(crate) fn status_kilobytes(&self, field: &str) -> u64 {
         let id = self.child.id().expect("it runs");
         let status =
             std::fs::read_to_string(format!("/proc/{id}/status")).expect("the test's own child process");
-        let line =
-            status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("the kernel reports it");
+        let line = status.lines().find_map(|line| line.strip_prefix(field)).expect("the kernel reports it");
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
--- a/crates/http-api/src/core.rs
+++ b/crates/http-api/src/core.rs
@@ -11,7 +11,7 @@
     StoreState, VolumeId,
 };
 use umbertray::scheduler::Scheduler;
-use umbertray_http::{client, server};
+use umbertray_http::{EncodedMessage, client, server};
 use umbertray_lifecycle::attempt::{self, AttemptStart, RequestStatus};
 use umbertray_lifecycle::reason::{DenialReason, RetryReason};
 
@@ -155,7 +155,7 @@
     ///
     /// # Errors
     /// The reason why the attempt must not start any more ([`attempt::may_begin`]).
-    pub fn start_attempt(&mut self, id: AttemptId, now: Duration) -> Result<Bytes, DenialReason> {
+    pub fn start_attempt(&mut self, id: AttemptId, now: Duration) -> Result<EncodedMessage, DenialReason> {
         let pending = self.pending.get_mut(id.op).ok_or(DenialReason::RequestEnded)?;
         let idempotency = self.settings.idempotency(pending.request.op_type);
         let may_have_run_since = pending.may_have_run_since;
@@ -168,7 +168,7 @@
         attempt::may_begin(&AttemptStart { now, deadline, request, store, idempotency, may_have_run_since })?;
         in_flight.started_at = Some(now);
         let time_left = deadline - now;
-        Ok(attempt_bytes(&pending.request, &address.to_string(), time_left))
+        Ok(encode_attempt(&pending.request, &address.to_string(), time_left))
     }
 
     /// The reason why an attempt is a retry; `None` for the first attempt of an operation.
@@ -388,11 +388,11 @@
 ///
 /// Hazard: without the idempotency key, stores would execute a retry a second time (rule 2), and would not
 /// receive what the client sent.
-fn attempt_bytes(request: &ClientRequest, host: &str, time_left: Duration) -> Bytes {
+fn encode_attempt(request: &ClientRequest, host: &str, time_left: Duration) -> EncodedMessage {
     let time_left = time_left.as_millis().to_string();
     let mut headers =
         vec![(protocol::REQUEST_ID, request.id.as_bytes()), (protocol::TIME_LEFT, time_left.as_bytes())];
     let idempotency_key = request.idempotency_key.as_ref();
     headers.extend(idempotency_key.map(|key| (protocol::IDEMPOTENCY_KEY, &key[..])));
-    client::request(request.method, &request.target, host, &headers, &request.body)
+    client::encode_request(request.method, &request.target, host, &headers, request.body.clone())
 }
--- a/crates/http-api/src/pending.rs
+++ b/crates/http-api/src/pending.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use bytes::Bytes;
 use umbertray::interface::{OpId, StoreId};
 use umbertray_lifecycle::reason::RetryReason;
 
@@ -133,6 +134,8 @@
         let Some(pending) = self.requests.get_mut(&op) else { return Vec::new() };
         if !pending.has_ended {
             pending.has_ended = true;
+            // No further attempt can start, so only one that is being written still needs the body.
+            pending.request.body = Bytes::new();
             self.clients.remove(&pending.client);
         }
         let in_flight = pending.in_flight.iter().map(|attempt| AttemptId { op, attempt: attempt.number });
--- a/crates/http-api/tests/core.rs
+++ b/crates/http-api/tests/core.rs
@@ -386,7 +386,7 @@
     let (client, effects) = harness.submit(&request("PUT", target, &fields, "data"));
     let [(attempt, address)] = started_attempts(&effects)[..] else { panic!("{effects:?}") };
     assert_eq!(address.port(), 7000 + u16::from(b's') + u16::from(b'1'));
-    let bytes = harness.core.start_attempt(attempt, harness.now + ms(100)).expect("not cancelled");
+    let bytes = harness.core.start_attempt(attempt, harness.now + ms(100)).expect("not cancelled").to_bytes();
     let mut reader = RequestReader::new(LIMITS);
     reader.bytes.extend_from_slice(&bytes);
     let Ok(RequestEvent::Request(sent)) = reader.next_event() else { panic!("our own request is read") };
@@ -648,7 +648,7 @@
         .replace(r#""effect":"single_shot""#, r#""effect":"guarded","dedupScope":"all","windowS":5.0"#);
     let mut harness = Harness::with(&settings, &[entry("s0", 0, "ready", 0)]);
     let bytes = |harness: &mut Harness, attempt| {
-        let bytes = harness.core.start_attempt(attempt, harness.now).expect("it may begin");
+        let bytes = harness.core.start_attempt(attempt, harness.now).expect("it may begin").to_bytes();
         String::from_utf8(bytes.to_vec()).expect("text")
     };
     let mut fields = fields("00000000000000ab", "units=2,shard=0,hosts=2").to_vec();
--- a/crates/http-api/tests/golden.rs
+++ b/crates/http-api/tests/golden.rs
@@ -56,7 +56,7 @@
         Effect::StartAttempt { attempt, .. } => Some(*attempt),
         _ => None,
     });
-    core.start_attempt(sent.expect("an attempt"), now).expect("it may begin")
+    core.start_attempt(sent.expect("an attempt"), now).expect("it may begin").to_bytes()
 }
 
 fn attempts(transcript: &mut String) {
--- a/crates/http-gateway/src/attempt.rs
+++ b/crates/http-gateway/src/attempt.rs
@@ -9,16 +9,21 @@
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{Instant, timeout, timeout_at};
+use umbertray_http::EncodedMessage;
 use umbertray_http::client::{self, Response, ResponseReader};
 use umbertray_http_api::{AttemptId, AttemptOutcome, StoreId, protocol};
 use umbertray_lifecycle::attempt::propagated_deadline_holds;
 use umbertray_lifecycle::check::record_violation;
 use umbertray_lifecycle::reason::StoreCloseReason;
 
-use crate::event_loop::EventLoop;
-use crate::response_memory::ResponseMemory;
+use crate::client_connections::OutputDemand;
+use crate::event_loop::{EventLoop, MemoryKind};
+use crate::memory_budget::Reservation;
 use crate::store_pool::PooledConnection;
 
+/// Responses beyond the platform's maximum body length get this part of the memory for all responses: a half.
+const OVERSIZED_SHARE: usize = 2;
+
 /// The outcome of an attempt, and when it became known.
 pub(crate) struct Finished {
     pub(crate) outcome: AttemptOutcome,
@@ -105,7 +110,7 @@
         }
     };
     let started_at = event_loop.clock.now();
-    write(&mut connection, &bytes, written).await.ok_or(AttemptOutcome::NeverWritten)?;
+    write(&mut connection, bytes, written).await.ok_or(AttemptOutcome::NeverWritten)?;
     let write_duration = event_loop.clock.now().saturating_sub(started_at);
     check_propagated_deadline(event_loop, attempt, write_duration);
     Ok(connection)
@@ -125,8 +130,12 @@
 
 /// Writes a request; `None` if it was not written completely. A store executes a request only after it has
 /// received the last byte.
-async fn write(connection: &mut PooledConnection<'_>, bytes: &Bytes, written: &Cell<bool>) -> Option<()> {
-    connection.stream.as_mut()?.write_all(bytes).await.ok()?;
+async fn write(
+    connection: &mut PooledConnection<'_>,
+    message: EncodedMessage,
+    written: &Cell<bool>,
+) -> Option<()> {
+    connection.stream.as_mut()?.write_all_buf(&mut message.into_buf()).await.ok()?;
     written.set(true);
     Some(())
 }
@@ -134,7 +143,7 @@
 /// Reads a complete response, and releases or closes its connection.
 async fn receive_response(event_loop: &Rc<EventLoop>, mut connection: PooledConnection<'_>) -> Finished {
     let mut reader = ResponseReader::new(event_loop.limits().response);
-    let mut memory = ResponseMemory::new(event_loop);
+    let mut memory = event_loop.response_memory.reservation();
     loop {
         let Some(stream) = &mut connection.stream else {
             return Finished { outcome: AttemptOutcome::NeverWritten, at: event_loop.clock.now() };
@@ -151,8 +160,12 @@
             Ok(0) => (reader.on_close(), true),
             Err(error) => return broken(StoreCloseReason::ResponseMalformed, &error),
         };
-        if !memory.reserve(reader.known_body_size()) {
-            return too_large(event_loop, &connection, reader.known_body_size(), at);
+        let size = match &response {
+            Ok(Some(response)) => response.body.len(),
+            _ => reader.body_memory(),
+        };
+        if !reserve_response(event_loop, &mut memory, size).await {
+            return too_large(event_loop, &connection, size, at);
         }
         match response {
             Ok(None) if is_end => {
@@ -174,13 +187,34 @@
     }
 }
 
+/// Reserves memory for a response of which this many bytes are held. Returns false if there is none, and no
+/// other response may be cut off.
+async fn reserve_response(event_loop: &EventLoop, memory: &mut Reservation, size: usize) -> bool {
+    let budget = &event_loop.response_memory;
+    if size > protocol::MAX_BODY {
+        return memory.try_resize_within(size, budget.limit() / OVERSIZED_SHARE);
+    }
+    loop {
+        let freed = budget.freed();
+        if memory.try_resize(size) {
+            return true;
+        }
+        event_loop.log_memory_shortage(MemoryKind::Responses);
+        match event_loop.clients.demand_output_memory() {
+            OutputDemand::Requested => freed.await,
+            OutputDemand::StalledAt(at) => _ = timeout_at(at.into(), freed).await,
+            OutputDemand::Unavailable => return false,
+        }
+    }
+}
+
 /// Releases or closes the connection of a complete response, and ties the reserved memory to the response
 /// body.
 fn finish_response(
     event_loop: &EventLoop,
     connection: PooledConnection<'_>,
     mut response: Response,
-    memory: ResponseMemory,
+    memory: Reservation,
     is_reusable: bool,
 ) -> AttemptOutcome {
     response.body = memory.attach_to(response.body);
@@ -200,7 +234,11 @@
 ) -> Finished {
     let reason = StoreCloseReason::ResponseTooLarge;
     event_loop.counters.count(reason);
-    tracing::warn!(store = %connection.address, size, %reason, "store response exceeds the memory limit");
+    if size > protocol::MAX_BODY {
+        tracing::warn!(store = %connection.address, size, %reason, "store response exceeds the memory limit");
+    } else {
+        tracing::debug!(store = %connection.address, size, %reason, "no memory for a store response");
+    }
     Finished { outcome: AttemptOutcome::Broken, at }
 }
 
@@ -220,8 +258,9 @@
     let written = Cell::new(false);
     let check = timeout(event_loop.limits().timeouts.connect, async {
         let mut connection = event_loop.pools.acquire(address).await?;
-        let bytes = client::request("GET", protocol::LOAD_REPORT_PATH, &address.to_string(), &[], b"");
-        write(&mut connection, &bytes, &written).await?;
+        let host = address.to_string();
+        let message = client::encode_request("GET", protocol::LOAD_REPORT_PATH, &host, &[], Bytes::new());
+        write(&mut connection, message, &written).await?;
         Some(receive_response(event_loop, connection).await.outcome)
     });
     match check.await {
--- a/crates/http-gateway/src/client/mod.rs
+++ b/crates/http-gateway/src/client/mod.rs
@@ -2,14 +2,16 @@
 //! [`ConnectionState`] decides on the next step and on when a connection may close; this module performs the
 //! I/O.
 
+mod memory;
 mod reading;
 mod responding;
 
+use std::cell::RefCell;
 use std::future::ready;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::unconstrained;
 use umbertray_http::Malformed;
 use umbertray_http::connection::{CloseDemand, ConnectionState, Event, NextStep, State};
@@ -22,6 +24,8 @@
 use umbertray_lifecycle::{Decision, Timeouts};
 use umbertray_socket::Socket;
 
+use crate::client_connections::ConnectionSignals;
+use crate::client_input::ClientInput;
 use crate::event_loop::EventLoop;
 
 /// The result of a future if it is ready immediately, otherwise `None`.
@@ -76,9 +80,9 @@
     event_loop: Rc<EventLoop>,
     id: u64,
     stream: Socket,
-    demand_raised: Rc<Notify>,
+    signals: Rc<ConnectionSignals>,
     state: ConnectionState,
-    requests: RequestReader,
+    input: Rc<RefCell<ClientInput>>,
     /// Result of parsing ahead, found before the response to the current request was written.
     read_ahead: Option<Result<RequestEvent, Malformed>>,
     /// The complete request that was read, until it is submitted.
@@ -109,8 +113,11 @@
 impl ClientConnection {
     /// Creates an accepted connection. If `reject` is set, its operations are rejected.
     pub(crate) fn new(event_loop: Rc<EventLoop>, id: u64, stream: Socket, reject: bool) -> ClientConnection {
-        let demand_raised = Rc::new(Notify::new());
-        event_loop.clients.insert(id, demand_raised.clone());
+        let signals = Rc::<ConnectionSignals>::default();
+        let memory = event_loop.request_memory.reservation();
+        let input = ClientInput::new(RequestReader::new(event_loop.limits().http), memory);
+        let input = Rc::new(RefCell::new(input));
+        event_loop.clients.insert(id, input.clone(), signals.clone());
         let limits = event_loop.limits();
         let timeouts = limits.timeouts;
         let first_request =
@@ -120,9 +127,9 @@
             event_loop,
             id,
             stream,
-            demand_raised,
+            signals,
             state: ConnectionState::new(reject),
-            requests: RequestReader::new(limits.http),
+            input,
             read_ahead: None,
             request: None,
             op: None,
@@ -252,7 +259,7 @@
     /// Completes once the close demand is greater than the one that the state machine knows.
     fn greater_demand(&self) -> impl Future<Output = ()> + use<> {
         let event_loop = self.event_loop.clone();
-        let demand_raised = self.demand_raised.clone();
+        let signals = self.signals.clone();
         let id = self.id;
         let known = self.state.demand();
         async move {
@@ -260,7 +267,7 @@
             while demand(&event_loop, id) <= known {
                 tokio::select! {
                     _ = phases.changed() => {}
-                    () = demand_raised.notified() => {}
+                    () = signals.demand_raised.notified() => {}
                 }
             }
         }
--- a/crates/http-gateway/src/client/reading.rs
+++ b/crates/http-gateway/src/client/reading.rs
@@ -1,26 +1,31 @@
 //! Reading requests from a client connection.
 
 use bytes::Bytes;
-use tokio::io::AsyncReadExt;
 use tokio::task::yield_now;
 use tokio::time::timeout_at;
+use umbertray_http::EncodedMessage;
 use umbertray_http::connection::{Event, State};
 use umbertray_http::server::{self, RequestEvent};
 use umbertray_lifecycle::reason::RejectionReason;
 
-use super::{ClientConnection, PreparedResponse, if_ready};
+use super::{ClientConnection, PreparedResponse};
+use crate::client_input::Received;
 use crate::response::malformed_request;
 
+/// The interim response to a client that waits for it before it sends its body.
+const CONTINUE: EncodedMessage =
+    EncodedMessage { head: Bytes::from_static(server::CONTINUE), body: Bytes::new() };
+
 impl ClientConnection {
-    /// Waits for a request. This future is never cancelled; the bytes read by `read_some` are kept in
-    /// `requests`.
+    /// Waits for a request. This future is never cancelled; the bytes that were received are kept in
+    /// `input`.
     pub(super) async fn read(&mut self) -> Event {
         if let Some(event) = self.next_request().await {
             return event;
         }
         loop {
             let state = self.state.state();
-            if self.requests.has_begun() && !matches!(state, State::ReadingRequest { .. }) {
+            if self.input.borrow().has_begun() && !matches!(state, State::ReadingRequest { .. }) {
                 return Event::PartialRead;
             }
             let mut limits_changes = self.event_loop.limits_changes();
@@ -28,9 +33,9 @@
             let greater_demand = self.greater_demand();
             tokio::select! {
                 biased;
-                read = timeout_at(deadline, self.read_some()) => match read {
-                    Ok(true) => {}
-                    Ok(false) => return Event::PeerClosed,
+                received = timeout_at(deadline, self.receive()) => match received {
+                    Ok(Received::Bytes) => {}
+                    Ok(Received::Closed) => return Event::PeerClosed,
                     Err(_) => return Event::TimedOut,
                 },
                 () = greater_demand => return Event::DemandChanged,
@@ -45,25 +50,31 @@
     /// Reads the bytes that are already available.
     pub(super) async fn read_available(&mut self) -> Event {
         yield_now().await;
-        match if_ready(self.read_some()).await {
+        match self.try_receive() {
             None => Event::NothingRead,
-            Some(false) => Event::PeerClosed,
-            Some(true) => self.next_request().await.unwrap_or(Event::PartialRead),
+            Some(Received::Closed) => Event::PeerClosed,
+            Some(Received::Bytes) => self.next_request().await.unwrap_or(Event::PartialRead),
         }
     }
 
     /// The next complete request, or the error in the bytes read; `None` until more bytes have been received.
     async fn next_request(&mut self) -> Option<Event> {
         loop {
-            match self.read_ahead.take().unwrap_or_else(|| self.requests.next_event()) {
+            let next = self.read_ahead.take().unwrap_or_else(|| self.input.borrow_mut().next_event());
+            match next {
                 Ok(RequestEvent::More) => return None,
-                Ok(RequestEvent::Continue) => _ = self.write(Bytes::from_static(server::CONTINUE)).await,
-                Ok(RequestEvent::Request(request)) => {
+                Ok(RequestEvent::Continue) => _ = self.write(CONTINUE).await,
+                Ok(RequestEvent::Request(mut request)) => {
+                    self.account_body(&mut request);
                     let is_op = self.health_status(&request).is_none();
                     let persists = request.persists;
                     self.request = Some(request);
                     return Some(Event::RequestRead { is_op, persists });
                 }
+                Ok(RequestEvent::Discarded { persists }) => {
+                    self.reject(RejectionReason::NoMemory);
+                    return Some(Event::RequestRead { is_op: true, persists });
+                }
                 Err(error) => {
                     let error = malformed_request(&error);
                     self.prepared_response = PreparedResponse::Error(error, RejectionReason::Malformed);
@@ -73,14 +84,26 @@
         }
     }
 
-    /// Waits for bytes and reads them. Returns false once the client has closed the connection. Cancel safe.
-    pub(super) async fn read_some(&mut self) -> bool {
-        let is_first = !self.requests.has_begun();
-        self.requests.bytes.reserve(self.event_loop.limits().http.head / 2);
-        let read = self.stream.read_buf(&mut self.requests.bytes).await;
-        if is_first {
+    /// Waits for bytes and reads them. Cancel safe.
+    pub(super) async fn receive(&mut self) -> Received {
+        loop {
+            if self.stream.readable().await.is_err() {
+                return Received::Closed;
+            }
+            if let Some(received) = self.try_receive() {
+                return received;
+            }
+        }
+    }
+
+    /// Reads bytes that are available; `None` if there are none.
+    pub(super) fn try_receive(&mut self) -> Option<Received> {
+        self.reserve_input();
+        let is_first = !self.input.borrow().has_begun();
+        let received = self.input.borrow_mut().receive(&self.stream);
+        if is_first && received == Some(Received::Bytes) {
             self.request_started_at = self.event_loop.clock.now();
         }
-        matches!(read, Ok(1..))
+        received
     }
 }
--- a/crates/http-gateway/src/client/responding.rs
+++ b/crates/http-gateway/src/client/responding.rs
@@ -3,9 +3,10 @@
 use std::future::ready;
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::time::{timeout, timeout_at};
+use umbertray_http::EncodedMessage;
 use umbertray_http::connection::{CloseDemand, Event, ResponseKind};
 use umbertray_http::server::{self, Request, RequestEvent};
 use umbertray_http_api::{AdmissionError, AdmittedRequest, FinalResponse, RequestError, protocol};
@@ -13,9 +14,12 @@
 use umbertray_lifecycle::{connection, request};
 
 use super::{ClientConnection, PendingOp, PreparedResponse, if_ready};
+use crate::client_input::Received;
 use crate::event_loop::SubmittedOp;
 use crate::response;
 
+/// Number of bytes that are discarded at once.
+const DISCARD_SIZE: usize = 4096;
 /// HTTP status of a request whose id is already in use by an open request.
 const DUPLICATE_ID: u16 = 409;
 
@@ -55,8 +59,9 @@
     /// Hazard: bytes after a parse error cannot be interpreted as a request, so the result of parsing is kept
     /// as it is.
     fn response_ready(&mut self) -> Event {
-        let read_ahead = self.read_ahead.take().unwrap_or_else(|| self.requests.next_event());
-        let has_next_request = matches!(read_ahead, Ok(RequestEvent::Request(_)));
+        let read_ahead = self.read_ahead.take().unwrap_or_else(|| self.input.borrow_mut().next_event());
+        let has_next_request =
+            matches!(read_ahead, Ok(RequestEvent::Request(_) | RequestEvent::Discarded { .. }));
         self.read_ahead = (read_ahead != Ok(RequestEvent::More)).then_some(read_ahead);
         Event::ResponseReady { has_next_request }
     }
@@ -95,15 +100,20 @@
                 Event::RequestInvalid
             }
             AdmissionError::TooManyIds => {
-                self.event_loop.counters.count(RejectionReason::NoMemory);
-                tracing::debug!(connection_id = self.id, %error, "request rejected");
-                let retry_after = self.event_loop.limits().retry_after;
-                self.prepared_response = PreparedResponse::Final(FinalResponse::Rejected { retry_after });
+                self.reject(RejectionReason::NoMemory);
                 self.response_ready()
             }
         }
     }
 
+    /// Prepares the rejection of a complete request that was not submitted.
+    pub(super) fn reject(&mut self, reason: RejectionReason) {
+        self.event_loop.counters.count(reason);
+        tracing::debug!(connection_id = self.id, %reason, "request rejected");
+        let retry_after = self.event_loop.limits().retry_after;
+        self.prepared_response = PreparedResponse::Final(FinalResponse::Rejected { retry_after });
+    }
+
     /// The response status if the request is a health check; `None` for any other request.
     pub(super) fn health_status(&self, request: &Request) -> Option<u16> {
         match (&*request.method, &*request.target) {
@@ -117,24 +127,47 @@
     /// a limit. Beyond the limit, only the end of the connection is awaited. tokio's interest in urgent data
     /// reports this end even if there are unread bytes, and is not woken by ordinary bytes.
     async fn client_disconnected(&mut self) {
-        while self.requests.bytes.len() < self.event_loop.limits().read_ahead {
-            if !self.read_some().await {
-                return;
+        while self.input.borrow().unparsed() < self.event_loop.limits().read_ahead {
+            match self.receive().await {
+                Received::Bytes => {}
+                Received::Closed => return,
             }
         }
         _ = self.stream.ready(Interest::PRIORITY).await;
     }
 
-    pub(super) async fn write(&mut self, bytes: Bytes) -> Event {
+    pub(super) async fn write(&mut self, message: EncodedMessage) -> Event {
         let response_write = self.event_loop.limits().timeouts.response_write;
-        let write = timeout(response_write, self.stream.write_all(&bytes));
-        let written = match self.state.demand() {
+        let demand = self.state.demand();
+        let write = timeout(response_write, self.write_message(message));
+        let written = match demand {
             // Another connection waits for the file descriptor. A response this short is written at once,
             // unless the client has not read the response before it.
             CloseDemand::ForCapacity => if_ready(write).await,
             _ => Some(write.await),
         };
-        if matches!(written, Some(Ok(Ok(())))) { Event::Written } else { Event::WriteFailed }
+        self.event_loop.clients.set_output_memory(self.id, 0);
+        if written == Some(Ok(true)) { Event::Written } else { Event::WriteFailed }
+    }
+
+    /// Writes a message. Returns false if the connection is broken, or if the memory is needed for another
+    /// response because the client does not read this one.
+    async fn write_message(&mut self, message: EncodedMessage) -> bool {
+        let size = message.body.len();
+        let mut bytes = message.into_buf();
+        while bytes.has_remaining() {
+            self.event_loop.clients.set_output_memory(self.id, size);
+            let must_stop_writing = self.must_stop_writing();
+            tokio::select! {
+                biased;
+                written = self.stream.write_buf(&mut bytes) => match written {
+                    Ok(1..) => {}
+                    _ => return false,
+                },
+                () = must_stop_writing => return false,
+            }
+        }
+        true
     }
 
     pub(super) async fn respond(&mut self, kind: ResponseKind, is_last: bool) -> Event {
@@ -143,18 +176,18 @@
             (ResponseKind::Rejection, _) => self.rejection(is_last),
             (ResponseKind::RequestTimeout, _) => self.request_timeout(),
             (_, PreparedResponse::Error(error, reason)) => self.error_response(&error, reason),
-            (_, PreparedResponse::Health(status)) => server::response(status, &[], b"", is_last),
-            (_, PreparedResponse::Final(response)) => response::encode(&response, is_last),
-            (_, PreparedResponse::Unknown) => response::encode(&FinalResponse::Failed, is_last),
+            (_, PreparedResponse::Health(status)) => {
+                server::encode_response(status, &[], Bytes::new(), is_last)
+            }
+            (_, PreparedResponse::Final(response)) => response::encode(response, is_last),
+            (_, PreparedResponse::Unknown) => response::encode(FinalResponse::Failed, is_last),
         };
         let event = self.write(bytes).await;
-        if self.requests.bytes.is_empty() {
-            self.requests.bytes = BytesMut::new();
-        }
+        self.input.borrow_mut().release_unused();
         event
     }
 
-    fn rejection(&self, is_last: bool) -> Bytes {
+    fn rejection(&self, is_last: bool) -> EncodedMessage {
         let is_draining = self.close_reason == Some(CloseReason::Draining);
         let reason = if is_draining { RejectionReason::Draining } else { RejectionReason::NoCapacity };
         self.event_loop.counters.count(reason);
@@ -162,17 +195,17 @@
         let demand = self.state.demand();
         tracing::debug!(connection_id = self.id, open, ?demand, %reason, "request rejected");
         let retry_after = self.event_loop.limits().retry_after;
-        response::encode(&FinalResponse::Rejected { retry_after }, is_last)
+        response::encode(FinalResponse::Rejected { retry_after }, is_last)
     }
 
-    fn request_timeout(&self) -> Bytes {
+    fn request_timeout(&self) -> EncodedMessage {
         self.observe_rule("", connection::misbehaving_client_wait_holds(self.reading_since.elapsed()));
         let message = "the request did not come whole in its time".into();
         let error = RequestError { status: 408, message };
         self.error_response(&error, RejectionReason::RequestReadTimeout)
     }
 
-    fn error_response(&self, error: &RequestError, reason: RejectionReason) -> Bytes {
+    fn error_response(&self, error: &RequestError, reason: RejectionReason) -> EncodedMessage {
         self.event_loop.counters.count(reason);
         tracing::debug!(
             connection_id = self.id, status = error.status, error = error.message, %reason,
@@ -190,8 +223,16 @@
         let demand = self.state.demand();
         let greater_demand = self.greater_demand();
         let deadline = self.state_deadline.into();
-        let mut discarded = [0; 4096];
-        let discard = async { while matches!(self.stream.read(&mut discarded).await, Ok(1..)) {} };
+        let discard = async {
+            let mut discarded = BytesMut::new();
+            loop {
+                discarded.clear();
+                discarded.reserve(DISCARD_SIZE);
+                if !matches!(self.stream.read_buf(&mut discarded).await, Ok(1..)) {
+                    return;
+                }
+            }
+        };
         tokio::select! {
             biased;
             end = timeout_at(deadline, discard) => match end {
--- a/crates/http-gateway/src/client_connections.rs
+++ b/crates/http-gateway/src/client_connections.rs
@@ -1,6 +1,8 @@
 //! The open client connections: the obligation of each, the order of eviction, and notifications when they
 //! close.
 
+mod memory;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -10,8 +12,11 @@
 use umbertray_http::connection::{CloseDemand, ConnectionState, Obligation, State};
 use umbertray_lifecycle::connection;
 
+use crate::client_input::ClientInput;
 use crate::resource_limits::ResourceLimits;
 
+pub(crate) use self::memory::OutputDemand;
+
 /// The shared state of an open connection.
 struct ConnectionEntry {
     obligation: Obligation,
@@ -20,8 +25,21 @@
     /// When the connection became idle or its sending was shut down; before that, when it was accepted.
     since: Instant,
     demand: CloseDemand,
-    /// Notified when `demand` has changed.
-    demand_raised: Rc<Notify>,
+    input: Rc<RefCell<ClientInput>>,
+    /// When the client last read part of a large response; `None` if no such response is being written.
+    large_output_since: Option<Instant>,
+    /// Whether the connection has to give up the response that it writes.
+    must_stop_writing: bool,
+    signals: Rc<ConnectionSignals>,
+}
+
+/// Notifications of a connection's task.
+#[derive(Default)]
+pub(crate) struct ConnectionSignals {
+    /// The close demand has changed.
+    pub(crate) demand_raised: Notify,
+    /// The connection has to give up the response that it writes.
+    pub(crate) memory_demanded: Notify,
 }
 
 impl ConnectionEntry {
@@ -57,13 +75,16 @@
         self.open.borrow().len()
     }
 
-    pub(crate) fn insert(&self, id: u64, demand_raised: Rc<Notify>) {
+    pub(crate) fn insert(&self, id: u64, input: Rc<RefCell<ClientInput>>, signals: Rc<ConnectionSignals>) {
         let entry = ConnectionEntry {
             obligation: Obligation::None,
             served_before: false,
             since: Instant::now(),
             demand: CloseDemand::None,
-            demand_raised,
+            input,
+            large_output_since: None,
+            must_stop_writing: false,
+            signals,
         };
         self.open.borrow_mut().insert(id, entry);
     }
@@ -100,7 +121,7 @@
     /// its response.
     pub(crate) async fn close_unused_and_wait_until_answered(&self) {
         self.common_demand.set(CloseDemand::Immediate);
-        self.open.borrow().values().for_each(|connection| connection.demand_raised.notify_one());
+        self.open.borrow().values().for_each(|connection| connection.signals.demand_raised.notify_one());
         self.wait_until(|open| {
             open.values().all(|connection| connection.obligation == Obligation::LingeringClose)
         })
@@ -137,7 +158,7 @@
                 .filter_map(|(id, connection)| Some((connection.eviction_order()?, *id, connection)));
             evictable.min_by_key(|(order, id, _)| (*order, *id)).map(|(_, id, connection)| {
                 connection.demand = CloseDemand::ForCapacity;
-                connection.demand_raised.notify_one();
+                connection.signals.demand_raised.notify_one();
                 id
             })
         };
--- a/crates/http-gateway/src/event_loop.rs
+++ b/crates/http-gateway/src/event_loop.rs
@@ -7,14 +7,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::{AbortHandle, yield_now};
 use tokio::time::sleep_until;
 use umbertray_clock::Clock;
+use umbertray_http::EncodedMessage;
 use umbertray_http::server::Request;
 use umbertray_http_api::{
     AdmissionError, AdmittedRequest, AttemptId, AttemptOutcome, ClientId, Config, Core, Effect,
@@ -26,6 +25,7 @@
 
 use crate::attempt;
 use crate::client_connections::ClientConnections;
+use crate::memory_budget::MemoryBudget;
 use crate::resource_limits::{LimitsError, ResourceLimits};
 use crate::store_pool::StorePools;
 
@@ -56,6 +56,18 @@
     Settings(#[from] SettingsError),
 }
 
+/// Minimum time between two log lines on a lack of memory.
+const SHORTAGE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// What memory is held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MemoryKind {
+    /// Requests of clients.
+    Requests,
+    /// Responses to clients.
+    Responses,
+}
+
 /// The task of an attempt.
 struct RunningAttempt {
     task: AbortHandle,
@@ -96,8 +108,12 @@
     pub(crate) clients: ClientConnections,
     /// Counts of connection closes, rejected requests, retries and denied attempts, by reason.
     pub(crate) counters: Rc<Counters>,
-    /// Bytes reserved for large responses.
-    pub(crate) response_bytes: Arc<AtomicUsize>,
+    /// Memory held for the requests of all clients.
+    pub(crate) request_memory: Arc<MemoryBudget>,
+    /// Memory held for all responses.
+    pub(crate) response_memory: Arc<MemoryBudget>,
+    /// When a lack of memory was last logged.
+    shortage_logged_at: Cell<Option<Instant>>,
     /// Notified when the scheduler requests a watch on the endpoint list. The first request opens it.
     pub(crate) watch_requested: Notify,
     /// Notified when the scheduler requests the complete endpoint list.
@@ -107,6 +123,8 @@
 impl EventLoop {
     pub(crate) fn new(core: Core, clock: Clock, limits: ResourceLimits) -> EventLoop {
         let counters = Rc::new(Counters::default());
+        let request_memory = MemoryBudget::new(limits.request_memory);
+        let response_memory = MemoryBudget::new(limits.response_memory);
         let limits = Rc::new(watch::channel(limits).0);
         EventLoop {
             core: RefCell::new(core),
@@ -124,12 +142,30 @@
             drain_bound: Cell::new(None),
             clients: ClientConnections::default(),
             counters,
-            response_bytes: Arc::default(),
+            request_memory,
+            response_memory,
+            shortage_logged_at: Cell::new(None),
             watch_requested: Notify::new(),
             fetch_requested: Notify::new(),
         }
     }
 
+    /// Logs that a budget is used up, at most once in [`SHORTAGE_LOG_INTERVAL`].
+    pub(crate) fn log_memory_shortage(&self, kind: MemoryKind) {
+        let now = Instant::now();
+        let last = self.shortage_logged_at.get();
+        if last.is_some_and(|last| now < last + SHORTAGE_LOG_INTERVAL) {
+            return;
+        }
+        self.shortage_logged_at.set(Some(now));
+        let budget = match kind {
+            MemoryKind::Requests => &self.request_memory,
+            MemoryKind::Responses => &self.response_memory,
+        };
+        let (used, limit, counters) = (budget.used(), budget.limit(), &self.counters);
+        tracing::warn!(?kind, used, limit, clients = self.clients.len(), %counters, "client memory exhausted");
+    }
+
     /// The limits currently in force.
     pub(crate) fn limits(&self) -> ResourceLimits {
         *self.limits.borrow()
@@ -162,6 +198,8 @@
         core.reconfigure(&config.settings)?;
         core.set_table_limits(limits.tables);
         drop(core);
+        self.request_memory.set_limit(limits.request_memory);
+        self.response_memory.set_limit(limits.response_memory);
         self.limits.send_replace(limits);
         self.wake.notify_one();
         Ok(())
@@ -208,7 +246,7 @@
     ///
     /// Hazard: the core is notified of a client's disconnect only at its next turn, so this is checked here
     /// as well.
-    pub(crate) fn start_attempt(&self, attempt: AttemptId) -> Result<Bytes, DenialReason> {
+    pub(crate) fn start_attempt(&self, attempt: AttemptId) -> Result<EncodedMessage, DenialReason> {
         let mut core = self.core.borrow_mut();
         let client = core.waiting_client(attempt).ok_or(DenialReason::RequestEnded)?;
         if !self.waiting_clients.borrow().contains_key(&client) {
--- a/crates/http-gateway/src/resource_limits.rs
+++ b/crates/http-gateway/src/resource_limits.rs
@@ -28,8 +28,10 @@
 /// Hazard: stores do send more than the platform's maximum body length, and may announce more than fits into
 /// any memory.
 const RESPONSE_MEMORY: f64 = 1.0 / 32.0;
-/// Fraction of the memory for the part of all responses beyond the platform's maximum body length.
-const ALL_RESPONSES_MEMORY: f64 = 0.25;
+/// Fraction of the memory for the requests of all clients: received bytes, parsed heads and bodies.
+const REQUESTS_MEMORY: f64 = 0.125;
+/// Fraction of the memory for all responses, from their first byte until they are written to their clients.
+const RESPONSES_MEMORY: f64 = 0.1875;
 /// Fraction of the memory for an endpoint list as received. The data structures built from it take several
 /// times as much.
 const LIST_MEMORY: f64 = 1.0 / 16.0;
@@ -57,8 +59,10 @@
     pub(crate) http: Limits,
     /// Limits of a store's response.
     pub(crate) response: Limits,
-    /// Maximum bytes of all store responses together, beyond the platform's maximum body length of each.
-    pub(crate) all_responses: usize,
+    /// Maximum bytes held for the requests of all clients.
+    pub(crate) request_memory: usize,
+    /// Maximum bytes held for all responses.
+    pub(crate) response_memory: usize,
     /// Maximum bytes read ahead while a request waits for its response.
     pub(crate) read_ahead: usize,
     /// Maximum bytes of the complete endpoint list, or of one object of its watch.
@@ -101,7 +105,8 @@
         Ok(ResourceLimits {
             http: Limits { head, body: protocol::MAX_BODY },
             response: Limits { head, body: fraction_of(memory, RESPONSE_MEMORY).max(protocol::MAX_BODY) },
-            all_responses: fraction_of(memory, ALL_RESPONSES_MEMORY),
+            request_memory: fraction_of(memory, REQUESTS_MEMORY),
+            response_memory: fraction_of(memory, RESPONSES_MEMORY),
             read_ahead: fraction_of(protocol::MAX_BODY, READ_AHEAD_PER_BODY),
             endpoint_list: fraction_of(memory, LIST_MEMORY),
             clients: fraction_of(sockets, CLIENT_SOCKETS),
--- a/crates/http-gateway/src/response/tests.rs
+++ b/crates/http-gateway/src/response/tests.rs
@@ -29,12 +29,16 @@
     ];
     for (name, response) in &responses {
         for close in [false, true] {
-            line(&mut transcript, &format!("{name}, close {close}"), &encode(response, close));
+            line(
+                &mut transcript,
+                &format!("{name}, close {close}"),
+                &encode(response.clone(), close).to_bytes(),
+            );
         }
     }
     for status in [400, 404, 405, 408, 409] {
         let error = RequestError { status, message: "the reason".into() };
-        line(&mut transcript, "refused", &encode_error(&error));
+        line(&mut transcript, "refused", &encode_error(&error).to_bytes());
     }
     let long_target = format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(400));
     let malformed = [
@@ -51,7 +55,7 @@
         let mut requests = RequestReader::new(Limits { head: 256, body: 1024 });
         requests.bytes.extend_from_slice(text.as_bytes());
         let error = requests.next_event().expect_err(text);
-        line(&mut transcript, "malformed", &encode_error(&malformed_request(&error)));
+        line(&mut transcript, "malformed", &encode_error(&malformed_request(&error)).to_bytes());
     }
     for status in [200, 503] {
         line(&mut transcript, "health", &server::response(status, &[], b"", false));
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -52,17 +52,22 @@
         ends
     }
 
-    /// Number of bytes that are still missing, as far as known: the rest of the body, or of the current
-    /// chunk.
+    /// Number of bytes that are still missing if the length of the body is known, otherwise 0.
     pub(crate) fn known_remaining(&self) -> usize {
         match self.0 {
-            State::Length(remaining) | State::ChunkData(remaining) => {
-                usize::try_from(remaining).unwrap_or(usize::MAX)
-            }
+            State::Length(remaining) => usize::try_from(remaining).unwrap_or(usize::MAX),
             _ => 0,
         }
     }
 
+    /// Maximum number of body bytes that `available` received bytes decode to.
+    pub(crate) fn max_output(&self, available: usize) -> usize {
+        match self.0 {
+            State::Length(remaining) => available.min(usize::try_from(remaining).unwrap_or(usize::MAX)),
+            _ => available,
+        }
+    }
+
     /// Moves the body bytes received so far from `bytes` to `body`. Returns true once the body is complete.
     ///
     /// # Errors
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,10 +3,14 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::body::{Decoder, Framing};
-use crate::{Headers, Limits, Malformed, head};
+use crate::{EncodedMessage, Headers, Limits, Malformed, head};
 
 /// Maximum number of interim responses (RFC 9110, 15.2) before one final response.
 const MAX_INTERIM: usize = 8;
+/// Unit in which the system assigns memory, in bytes.
+const PAGE: usize = 4096;
+/// Initial capacity for an encoded head, in bytes.
+const HEAD_CAPACITY: usize = 256;
 
 /// The head of a response.
 #[derive(Clone, Debug, PartialEq)]
@@ -81,6 +85,10 @@
     }
 
     fn begin_body(&mut self, head: Head, framing: Framing) {
+        if let Framing::Length(length) = framing {
+            // The limit was checked. The part of the capacity that is not filled uses no memory.
+            self.body = BytesMut::with_capacity(length as usize);
+        }
         self.head = Some(head);
         self.decoder = Some(Decoder::new(framing));
     }
@@ -123,9 +131,9 @@
         self.decoder.as_mut().map_or(Ok(false), |decoder| decoder.decode(&mut self.bytes, destination))
     }
 
-    /// Size of the body as far as known: bytes received plus bytes known to be missing.
-    pub fn known_body_size(&self) -> usize {
-        self.decoder.as_ref().map_or(0, |decoder| self.body.len().saturating_add(decoder.known_remaining()))
+    /// Memory held for the part of the body received so far, in bytes.
+    pub fn body_memory(&self) -> usize {
+        self.body.len().next_multiple_of(PAGE).min(self.body.capacity())
     }
 
     /// The complete response, or `None` until it has been received.
@@ -152,12 +160,22 @@
 
 /// Encodes a request. The caller has checked that the target and the header fields contain no line break.
 pub fn request(method: &str, target: &str, host: &str, headers: &[(&str, &[u8])], body: &[u8]) -> Bytes {
-    let mut bytes = BytesMut::with_capacity(256 + body.len());
-    bytes.extend_from_slice(format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n").as_bytes());
-    encode_fields(&mut bytes, headers, body.len());
-    bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(body);
-    bytes.freeze()
+    encode_request(method, target, host, headers, Bytes::copy_from_slice(body)).to_bytes()
+}
+
+/// Encodes a request as [`request`] does, without copying its body.
+pub fn encode_request(
+    method: &str,
+    target: &str,
+    host: &str,
+    headers: &[(&str, &[u8])],
+    body: Bytes,
+) -> EncodedMessage {
+    let mut head = BytesMut::with_capacity(HEAD_CAPACITY);
+    head.extend_from_slice(format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n").as_bytes());
+    encode_fields(&mut head, headers, body.len());
+    head.extend_from_slice(b"\r\n");
+    EncodedMessage { head: head.freeze(), body }
 }
 
 /// Encodes header fields, followed by the `Content-Length` of the body.
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -8,6 +8,9 @@
 /// Maximum number of header fields in a head.
 pub(crate) const MAX_FIELDS: usize = 64;
 
+/// Memory of one header field in addition to its name and value, in bytes: the entry and two allocations.
+const FIELD_MEMORY: usize = 112;
+
 /// The header fields of a head, in order.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Headers(Vec<(Box<str>, Bytes)>);
@@ -21,6 +24,11 @@
         Headers(fields.iter().map(|field| (field.name.into(), Bytes::copy_from_slice(field.value))).collect())
     }
 
+    /// Approximate memory of the fields, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.0.iter().map(|(name, value)| FIELD_MEMORY + name.len() + value.len()).sum()
+    }
+
     /// All values of a field, in order.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         self.0.iter().filter(move |(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| &value[..])
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,8 +11,34 @@
 mod head;
 pub mod server;
 
+use bytes::{Buf, Bytes, BytesMut};
+
 pub use head::Headers;
 
+/// An encoded message. The body is shared with its owner, not copied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedMessage {
+    /// Start line and header fields, with the blank line that ends them.
+    pub head: Bytes,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl EncodedMessage {
+    /// The bytes to be written.
+    pub fn into_buf(self) -> impl Buf {
+        self.head.chain(self.body)
+    }
+
+    /// All bytes in one buffer.
+    pub fn to_bytes(&self) -> Bytes {
+        let mut bytes = BytesMut::with_capacity(self.head.len() + self.body.len());
+        bytes.extend_from_slice(&self.head);
+        bytes.extend_from_slice(&self.body);
+        bytes.freeze()
+    }
+}
+
 /// Maximum size of one message that a reader buffers, in bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,7 +3,10 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::body::{Decoder, Framing};
-use crate::{Headers, Limits, Malformed, head};
+use crate::{EncodedMessage, Headers, Limits, Malformed, head};
+
+/// Initial capacity for an encoded head, in bytes.
+const HEAD_CAPACITY: usize = 192;
 
 /// A complete request.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,19 +32,64 @@
     Continue,
     /// A complete request.
     Request(Request),
+    /// A complete request that was discarded ([`RequestReader::discard_partial`]).
+    Discarded {
+        /// Whether the client may send further requests on this connection.
+        persists: bool,
+    },
 }
 
 /// A request whose head has been parsed.
 struct PartialRequest {
     request: Request,
+    /// Memory of `request`, in bytes.
+    head_memory: usize,
     decoder: Decoder,
     body: BytesMut,
+    is_discarded: bool,
+    /// Length of the part of the body that was discarded.
+    discarded: usize,
     expects_continue: bool,
 }
 
+impl PartialRequest {
+    /// Capacity of the body's buffer after `available` more bytes have been decoded.
+    fn capacity_for(&self, available: usize) -> usize {
+        let length = self.body.len() + self.decoder.max_output(available);
+        match length {
+            0 => 0,
+            _ if length <= self.body.capacity() => self.body.capacity(),
+            _ => length.next_power_of_two().max(MIN_BODY_CAPACITY),
+        }
+    }
+
+    /// Length of the body decoded so far.
+    fn decoded(&self) -> usize {
+        self.discarded + self.body.len()
+    }
+
+    /// Drops the header fields and the part of the body received so far.
+    fn discard(&mut self) {
+        self.is_discarded = true;
+        self.request.headers = Headers::default();
+        self.head_memory = 0;
+        self.discarded = self.decoded();
+        self.body = BytesMut::new();
+    }
+
+    fn grow_for(&mut self, available: usize) {
+        let additional = self.capacity_for(available).saturating_sub(self.body.len());
+        self.body.reserve(additional);
+    }
+}
+
+/// Minimum capacity of a buffer for a body that has begun, in bytes.
+const MIN_BODY_CAPACITY: usize = 256;
+
 /// Reads the requests of one connection in sequence.
 pub struct RequestReader {
     limits: Limits,
+    discards_requests: bool,
     partial: Option<PartialRequest>,
     /// Bytes received and not parsed yet.
     pub bytes: BytesMut,
@@ -50,7 +98,56 @@
 impl RequestReader {
     /// Creates a reader for a new connection.
     pub fn new(limits: Limits) -> RequestReader {
-        RequestReader { limits, partial: None, bytes: BytesMut::new() }
+        RequestReader { limits, discards_requests: false, partial: None, bytes: BytesMut::new() }
+    }
+
+    /// Discards the request whose body is being received, if there is one: its end is still detected, and
+    /// [`RequestEvent::Discarded`] is returned then.
+    pub fn discard_partial(&mut self) {
+        if let Some(partial) = &mut self.partial {
+            partial.discard();
+        }
+    }
+
+    /// Whether every request from now on is discarded, beginning with the one that is being received.
+    pub fn discard_requests(&mut self, discard: bool) {
+        self.discards_requests = discard;
+        if discard {
+            self.discard_partial();
+        }
+    }
+
+    /// Whether the head of a request has been parsed, and its body is being received and kept.
+    pub fn is_receiving_body(&self) -> bool {
+        self.partial.as_ref().is_some_and(|partial| !partial.is_discarded)
+    }
+
+    /// Memory held for received bytes and for a request that is being read, in bytes.
+    pub fn memory(&self) -> usize {
+        let partial = self.partial.as_ref();
+        let held = partial.map_or(0, |partial| partial.head_memory + partial.body.capacity());
+        self.bytes.capacity() + held
+    }
+
+    /// Maximum memory held after `count` more bytes were received and parsed, unless they contain a head.
+    pub fn memory_to_receive(&self, count: usize) -> usize {
+        let received = self.bytes.len() + count;
+        let bytes = received.next_power_of_two().max(self.bytes.capacity());
+        let body = |partial: &PartialRequest| partial.capacity_for(received).max(partial.body.capacity());
+        bytes + self.partial.as_ref().map_or(0, |partial| partial.head_memory + body(partial))
+    }
+
+    /// Capacity for the next read that suits what is being received, at most `max` bytes: the rest of a head
+    /// or body within its limit. A body of unknown length and one that is discarded are read in parts of
+    /// `min` bytes.
+    pub fn read_size(&self, min: usize, max: usize) -> usize {
+        match &self.partial {
+            None => min.min(self.limits.head.saturating_sub(self.bytes.len()).max(1)),
+            Some(partial) if partial.is_discarded => min,
+            Some(partial) => {
+                partial.decoder.known_remaining().saturating_sub(self.bytes.len()).clamp(min, max)
+            }
+        }
     }
 
     /// Whether part of a request has been received.
@@ -68,17 +165,24 @@
             self.partial = self.parse_head()?;
         }
         let Some(partial) = &mut self.partial else { return Ok(RequestEvent::More) };
+        partial.grow_for(self.bytes.len());
         let is_complete = partial.decoder.decode(&mut self.bytes, &mut partial.body)?;
-        if partial.body.len() > self.limits.body {
+        if partial.decoded() > self.limits.body {
             return Err(Malformed::BodyTooLong(self.limits.body));
         }
+        if partial.is_discarded {
+            partial.discard();
+        }
         if !is_complete {
-            let send_continue = std::mem::take(&mut partial.expects_continue) && partial.body.is_empty();
+            let send_continue = std::mem::take(&mut partial.expects_continue) && partial.decoded() == 0;
             return Ok(if send_continue { RequestEvent::Continue } else { RequestEvent::More });
         }
-        let Some(PartialRequest { mut request, body, .. }) = self.partial.take() else {
+        let Some(PartialRequest { mut request, body, is_discarded, .. }) = self.partial.take() else {
             return Ok(RequestEvent::More);
         };
+        if is_discarded {
+            return Ok(RequestEvent::Discarded { persists: request.persists });
+        }
         request.body = body.freeze();
         Ok(RequestEvent::Request(request))
     }
@@ -114,7 +218,20 @@
         }
         let expects_continue = headers.list_contains("Expect", "100-continue");
         let decoder = Decoder::new(framing);
-        Ok(Some(PartialRequest { request, decoder, body: BytesMut::new(), expects_continue }))
+        let head_memory = headers.memory() + request.method.len() + request.target.len();
+        let mut partial = PartialRequest {
+            request,
+            head_memory,
+            decoder,
+            body: BytesMut::new(),
+            is_discarded: false,
+            discarded: 0,
+            expects_continue,
+        };
+        if self.discards_requests {
+            partial.discard();
+        }
+        Ok(Some(partial))
     }
 }
 
@@ -157,13 +274,17 @@
 /// Encodes a response. Field names and values are the caller's own or were parsed by [`RequestReader`] or
 /// [`crate::client::ResponseReader`], so they contain no line break.
 pub fn response(status: u16, fields: &[(&str, &[u8])], body: &[u8], close: bool) -> Bytes {
-    let mut bytes = BytesMut::with_capacity(192 + body.len());
-    bytes.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).as_bytes());
-    crate::client::encode_fields(&mut bytes, fields, body.len());
+    encode_response(status, fields, Bytes::copy_from_slice(body), close).to_bytes()
+}
+
+/// Encodes a response as [`response`] does, without copying its body.
+pub fn encode_response(status: u16, fields: &[(&str, &[u8])], body: Bytes, close: bool) -> EncodedMessage {
+    let mut head = BytesMut::with_capacity(HEAD_CAPACITY);
+    head.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).as_bytes());
+    crate::client::encode_fields(&mut head, fields, body.len());
     if close {
-        bytes.extend_from_slice(b"Connection: close\r\n");
+        head.extend_from_slice(b"Connection: close\r\n");
     }
-    bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(body);
-    bytes.freeze()
+    head.extend_from_slice(b"\r\n");
+    EncodedMessage { head: head.freeze(), body }
 }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -268,3 +268,62 @@
     assert_eq!((read[0].head.status, read[0].head.persists), (429, false));
     assert_eq!(read[0].head.headers.single("retry-after"), Ok(Some(&b"0.110"[..])));
 }
+
+/// The end of a discarded request is found, in any framing and however it is split, so that the next request
+/// is read.
+#[test]
+fn discarded_request_holds_no_memory_and_next_one_is_read() {
+    for body in ["Content-Length: 400\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n190\r\n"] {
+        let end = if body.starts_with('T') { "\r\n0\r\n\r\n" } else { "" };
+        let mut reader = RequestReader::new(LIMITS);
+        let head = format!("PUT /a HTTP/1.1\r\nHost: x\r\n{body}");
+        reader.bytes.extend_from_slice(head.as_bytes());
+        reader.bytes.extend_from_slice(&[b'x'; 300]);
+        assert_eq!(reader.next_event(), Ok(RequestEvent::More));
+        assert!(reader.memory() >= 300 && reader.is_receiving_body());
+        reader.discard_partial();
+        reader.bytes = BytesMut::new();
+        assert!(reader.memory() == 0 && !reader.is_receiving_body() && reader.has_begun());
+        reader.bytes.extend_from_slice(
+            &[&[b'x'; 100][..], end.as_bytes(), b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n"].concat(),
+        );
+        assert_eq!(reader.next_event(), Ok(RequestEvent::Discarded { persists: true }), "{body}");
+        match reader.next_event() {
+            Ok(RequestEvent::Request(request)) => assert_eq!(&*request.target, "/b"),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// A discarded body is as long as another one may be.
+#[test]
+fn limit_of_body_holds_for_discarded_request() {
+    let mut reader = RequestReader::new(LIMITS);
+    let head = b"PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    reader.discard_requests(true);
+    reader.bytes.extend_from_slice(head);
+    for _ in 0..2 {
+        reader.bytes.extend_from_slice(&[b"ff\r\n", &[b'x'; 255][..], b"\r\n"].concat());
+        assert_eq!(reader.next_event(), Ok(RequestEvent::More));
+    }
+    reader.bytes.extend_from_slice(&[b"ff\r\n", &[b'x'; 255][..], b"\r\n"].concat());
+    assert_eq!(reader.next_event(), Err(Malformed::BodyTooLong(LIMITS.body)));
+}
+
+/// The memory that a read may need is known before it: of the buffer, and of the body that grows.
+#[test]
+fn memory_of_reader_is_within_what_was_foretold() {
+    let mut reader = RequestReader::new(Limits { head: 1024, body: 1 << 16 });
+    reader.bytes.extend_from_slice(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 65536\r\n\r\n");
+    assert_eq!(reader.next_event(), Ok(RequestEvent::More));
+    for _ in 0..64 {
+        let count = reader.read_size(64, 1000);
+        assert_eq!(count, 1000);
+        let foretold = reader.memory_to_receive(count);
+        reader.bytes.reserve(count);
+        reader.bytes.extend_from_slice(&[b'x'; 1000]);
+        assert_eq!(reader.next_event(), Ok(RequestEvent::More));
+        assert!(reader.memory() <= foretold, "{} and not {foretold}", reader.memory());
+    }
+    assert!(reader.memory() < 1 << 17);
+}
