Serve the others after each request of a client that sends without a pause

What callers saw: while clients sent small or unsound requests on open connections at full speed, other clients got their answers late.

Reproduced over real processes (crates/cli/tests/overload, half of them health checks, half of them no op, each connection at full speed for 2.5 s beside 8 usual clients, 32 MB).

Cause: a connection's task went on while bytes were there, up to 128 requests in a row, or 512 KiB after an error; each such client delayed every step of the others by that much.

Change: after an answer, after 4 KiB discarded behind an error and after 16 requests discarded, the other tasks run first, and the sockets are looked at. Few bytes are read ahead at first, more only when many follow.

--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -7,6 +7,7 @@
 #[path = "../platform/common.rs"]
 #[allow(dead_code)]
 mod common;
+mod floods;
 mod memory;
 mod store;
 mod usual_clients;
--- a/crates/http-gateway/src/client/read_ahead.rs
+++ b/crates/http-gateway/src/client/read_ahead.rs
@@ -12,6 +12,9 @@
 use super::ClientConnection;
 use crate::client_input::Received;
 
+/// Number of requests that are discarded before other connections are served.
+const MAX_DISCARDED_AT_ONCE: usize = 16;
+
 /// What is known of a client behind a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Behind {
@@ -32,6 +35,8 @@
     unanswered: u64,
     /// Whether the client announced that it sends no request after the last one of them.
     is_last: bool,
+    /// Whether the bytes after the last one of them are not a valid request.
+    is_unreadable: bool,
 }
 
 impl DiscardedRequests {
@@ -78,11 +83,19 @@
         }
     }
 
-    /// Discards the requests read so far, and all that follow until the client sends nothing more.
-    pub(super) fn discard_behind(&mut self) {
+    /// Discards the requests that follow, until the client sends nothing more.
+    pub(super) fn start_discarding(&mut self) {
         self.discarded.is_discarding = true;
         self.input.borrow_mut().discard_requests(true);
-        while !self.discarded.is_last {
+    }
+
+    /// Discards some of the requests read so far.
+    fn discard_some(&mut self) {
+        self.start_discarding();
+        for _ in 0..MAX_DISCARDED_AT_ONCE {
+            if self.discarded.is_last {
+                break;
+            }
             let next = self.read_ahead.take().unwrap_or_else(|| self.input.borrow_mut().next_event());
             match next {
                 Ok(RequestEvent::Request(request)) => self.discarded.add(request.persists),
@@ -91,12 +104,15 @@
                 Ok(RequestEvent::More) => return,
                 Err(error) => {
                     self.read_ahead = Some(Err(error));
+                    self.discarded.is_unreadable = true;
                     break;
                 }
             }
         }
-        // No request can follow.
-        self.input.borrow_mut().drop_unparsed();
+        if self.discarded.is_last || self.discarded.is_unreadable {
+            // No request can follow.
+            self.input.borrow_mut().drop_unparsed();
+        }
     }
 
     /// Prepares the rejection of the next request that was discarded. `Some` says whether the client accepts
@@ -126,7 +142,7 @@
             match self.read_behind() {
                 Behind::Closed => return,
                 Behind::AllRead if !self.discarded.is_discarding => {}
-                Behind::AllRead | Behind::TooMuch => self.discard_behind(),
+                Behind::AllRead | Behind::TooMuch => self.discard_some(),
             }
             // A client that sends without a pause must not keep the others waiting.
             tokio::task::yield_now().await;
--- a/crates/http-gateway/src/client/reading.rs
+++ b/crates/http-gateway/src/client/reading.rs
@@ -21,6 +21,10 @@
     /// Waits for a request. This future is never cancelled; the bytes that were received are kept in
     /// `input`.
     pub(super) async fn read(&mut self) -> Event {
+        if self.state.state() == State::Idle {
+            // A client that sends request after request must not keep the others waiting.
+            yield_now().await;
+        }
         if let Some(event) = self.next_request().await {
             return event;
         }
--- a/crates/http-gateway/src/client/responding.rs
+++ b/crates/http-gateway/src/client/responding.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::yield_now;
 use tokio::time::{timeout, timeout_at};
 use umbertray_http::EncodedMessage;
 use umbertray_http::connection::{CloseDemand, Event, ResponseKind};
@@ -18,7 +19,7 @@
 use crate::event_loop::SubmittedOp;
 use crate::response;
 
-/// Number of bytes that are discarded at once.
+/// Number of bytes that are discarded before other connections are served.
 const DISCARD_SIZE: usize = 4096;
 /// HTTP status of a request whose id is already in use by an open request.
 const DUPLICATE_ID: u16 = 409;
@@ -31,7 +32,7 @@
                 Behind::Closed => return Event::PeerClosed,
                 Behind::AllRead if !self.discarded.is_discarding() => {}
                 Behind::AllRead | Behind::TooMuch => {
-                    self.discard_behind();
+                    self.start_discarding();
                     self.reject(RejectionReason::ReadAheadExceeded);
                     return self.response_ready();
                 }
@@ -112,7 +113,7 @@
                 self.prepared_response = PreparedResponse::Error(error, reason);
                 Event::RequestInvalid
             }
-            AdmissionError::TooManyIds => {
+            AdmissionError::TooManyIds | AdmissionError::TooManyVolumes => {
                 self.reject(RejectionReason::NoMemory);
                 self.response_ready()
             }
@@ -224,12 +225,12 @@
         let greater_demand = self.greater_demand();
         let deadline = self.state_deadline.into();
         let discard = async {
-            let mut discarded = BytesMut::new();
-            loop {
-                discarded.clear();
-                discarded.reserve(DISCARD_SIZE);
-                if !matches!(self.stream.read_buf(&mut discarded).await, Ok(1..)) {
-                    return;
+            let mut discarded = BytesMut::with_capacity(DISCARD_SIZE);
+            while matches!(self.stream.read_buf(&mut discarded).await, Ok(1..)) {
+                // A client that sends without a pause must not keep the others waiting.
+                if discarded.len() == discarded.capacity() {
+                    discarded.clear();
+                    yield_now().await;
                 }
             }
         };
--- a/crates/http-gateway/src/client_input.rs
+++ b/crates/http-gateway/src/client_input.rs
@@ -18,8 +18,6 @@
 /// Maximum capacity for one read, in bytes.
 const MAX_READ_SIZE: usize = 16 * 1024;
 
-/// Minimum capacity for one read behind a request that is not answered yet, in bytes.
-const READ_AHEAD_SIZE: usize = 2048;
 /// What is read behind requests that are not answered yet gets this part of the memory for requests: a half.
 const READ_AHEAD_SHARE: usize = 2;
 
@@ -109,13 +107,13 @@
     /// As [`ClientInput::try_reserve`], for a read behind a request that is not answered yet: at most
     /// `max_length` bytes are kept unparsed. They cannot be evicted, so they get only a part of the budget.
     pub(crate) fn try_reserve_behind(&mut self, max_length: usize) -> bool {
-        let size = self.requests.memory_to_receive(READ_AHEAD_SIZE);
+        let size = self.requests.memory_to_receive(self.read_ahead_size());
         self.unparsed() < max_length && self.memory.try_resize_part(size, READ_AHEAD_SHARE)
     }
 
     /// As [`ClientInput::receive`], for a read behind a request that is not answered yet.
     pub(crate) fn receive_behind(&mut self, stream: &Socket) -> Option<Received> {
-        self.receive_up_to(stream, READ_AHEAD_SIZE)
+        self.receive_up_to(stream, self.read_ahead_size())
     }
 
     /// Whether every request from now on is discarded, beginning with the one that is being received.
@@ -155,6 +153,11 @@
         self.requests.read_size(MIN_READ_SIZE, MAX_READ_SIZE)
     }
 
+    /// Few bytes follow an ordinary request. If there are more, they are read in larger parts.
+    fn read_ahead_size(&self) -> usize {
+        self.unparsed().clamp(MIN_READ_SIZE, MAX_READ_SIZE)
+    }
+
     fn account(&mut self) {
         let size = self.requests.memory();
         self.memory.resize(size);
