Forget volumes that owe nothing, when clients name ever new ones

What callers saw: while one client sent requests under ever new names at full speed, memory grew without end.

Reproduced over real processes: one client pipelines writes for ever new volumes for 8 s.

Cause: a name had an id, a bucket of its limit and a queue at each of its stores; ids and buckets were kept for good, queues for 60 s, some 650 bytes a name. Each op looked at all queues of its store, idle ones too.

Change: above a sixteenth of the memory (2,730 volumes at 32 MB) the HTTP gateway asks the scheduler to forget what owes nothing: volumes with no op, not served more than others at any store (order), with a full bucket and nothing reserved (limit), at a rate under 1% of what their plan guarantees (budget). With four times as many that owe something, a new one is rejected with a time to come back (refusal.no_memory). A volume's id is given out when its request is admitted, so that requests of one turn count. Per event, a store's queue looks at active volumes only.

The ids of requests get a sixteenth as well (43,690 at 32 MB): 5,461 were too few for 1,800 requests a second with deadlines of 3 s, and usual clients were rejected. Beyond the deadline, 16,384 are kept.

--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -11,4 +11,5 @@
 mod memory;
 mod store;
 mod usual_clients;
+mod volumes;
 mod world;
--- a/crates/http-api/src/core.rs
+++ b/crates/http-api/src/core.rs
@@ -1,14 +1,14 @@
 //! Runs one scheduler behind the platform's protocol: converts inputs to scheduler events, and scheduler
 //! actions to effects.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use umbertray::interface::{
     Action, AttemptResult, EndpointListUpdate, Event, LoadReport, Op, OpId, Outcome, Settings, StoreId,
-    StoreState, VolumeId,
+    StoreState,
 };
 use umbertray::scheduler::Scheduler;
 use umbertray_http::{EncodedMessage, client, server};
@@ -27,6 +27,7 @@
 use crate::protocol;
 use crate::request::{ClientRequest, RequestError};
 use crate::stores::{ListChanges, Stores};
+use crate::volumes::Volumes;
 
 /// State of the gateway: the scheduler, the open operations and the known stores.
 pub struct Core {
@@ -36,7 +37,7 @@
     pending: PendingRequests,
     stores: Stores,
     endpoints_known: bool,
-    volume_ids: HashMap<u64, VolumeId>,
+    volumes: Volumes,
     timers: BTreeSet<(Duration, u64)>,
     /// Events that the scheduler receives in the current turn.
     events: Vec<Event>,
@@ -64,7 +65,7 @@
                 .stores
                 .iter()
                 .any(|endpoint| endpoint.state == StoreState::Ready),
-            volume_ids: HashMap::new(),
+            volumes: Volumes::new(table_limits.volumes),
             timers: BTreeSet::new(),
             events: vec![start],
             effects: Vec::new(),
@@ -107,7 +108,10 @@
         }
         let ClientRequest { id, shard, time_left, .. } = &request;
         let admitted = AdmittedRequest { id: id.clone(), shard: *shard, time_left: *time_left };
-        self.pending.add(client, request);
+        let Some(volume) = self.volumes.id(request.volume) else {
+            return Err(AdmissionError::TooManyVolumes);
+        };
+        self.pending.add(client, request, volume);
         Ok(admitted)
     }
 
@@ -142,6 +146,7 @@
             let actions = self.scheduler.handle(self.now, events);
             actions.into_iter().for_each(|action| self.apply_action(action));
         }
+        self.volumes.forget_idle(&mut self.scheduler, self.now, || self.pending.volumes());
         std::mem::take(&mut self.effects)
     }
 
@@ -181,6 +186,7 @@
     /// Changes the maximum sizes of the tables. Entries in use stay.
     pub fn set_table_limits(&mut self, limits: TableLimits) {
         self.pending.ids.set_capacity(limits.request_ids);
+        self.volumes.set_limit(limits.volumes);
     }
 
     /// Puts new settings in force from the next turn on. Operation types and plans keep their positions,
@@ -232,7 +238,7 @@
         let op = Op {
             id,
             units: request.units,
-            volume: volume_id(&mut self.volume_ids, request.volume),
+            volume: pending.volume,
             volume_name: request.volume,
             key: (request.key != 0).then_some(request.key),
             shard: request.shard,
@@ -379,11 +385,6 @@
     }
 }
 
-fn volume_id(ids: &mut HashMap<u64, VolumeId>, name: u64) -> VolumeId {
-    let next = VolumeId(ids.len() as u32);
-    *ids.entry(name).or_insert(next)
-}
-
 /// Encodes the request of an attempt for its store.
 ///
 /// Hazard: without the idempotency key, stores would execute a retry a second time (rule 2), and would not
--- a/crates/http-api/src/lib.rs
+++ b/crates/http-api/src/lib.rs
@@ -18,6 +18,7 @@
 mod request_ids;
 mod stable_positions;
 mod stores;
+mod volumes;
 
 pub use active_settings::{SettingsError, StartError};
 pub use config::Config;
--- a/crates/http-api/src/messages.rs
+++ b/crates/http-api/src/messages.rs
@@ -79,6 +79,9 @@
     /// The request ids that must not be forgotten yet need all the memory for them.
     #[error("too many request ids in use")]
     TooManyIds,
+    /// The volumes that must not be forgotten yet need all the memory for them, and this one is new.
+    #[error("too many volumes in use")]
+    TooManyVolumes,
 }
 
 /// Maximum sizes of the tables that grow with what clients send.
@@ -86,6 +89,8 @@
 pub struct TableLimits {
     /// Number of request ids in use.
     pub request_ids: usize,
+    /// Number of volumes above which those that owe nothing are forgotten. Four times as many are known at most.
+    pub volumes: usize,
 }
 
 /// An input of the core. Times are since the Unix epoch, on the gateway's clock.
--- a/crates/http-api/src/pending.rs
+++ b/crates/http-api/src/pending.rs
@@ -1,10 +1,10 @@
 //! Open operations, each with the client that waits for it and its attempts in flight.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use bytes::Bytes;
-use umbertray::interface::{OpId, StoreId};
+use umbertray::interface::{OpId, StoreId, VolumeId};
 use umbertray_lifecycle::reason::RetryReason;
 
 use crate::messages::{AttemptId, ClientId};
@@ -31,6 +31,8 @@
     pub(crate) client: ClientId,
     /// The operation.
     pub(crate) request: ClientRequest,
+    /// The scheduler's id of its volume.
+    pub(crate) volume: VolumeId,
     /// Attempts that have not ended.
     pub(crate) in_flight: Vec<InFlightAttempt>,
     /// Number of attempts decided on so far.
@@ -45,10 +47,11 @@
 }
 
 impl PendingRequest {
-    fn new(client: ClientId, request: ClientRequest) -> PendingRequest {
+    fn new(client: ClientId, request: ClientRequest, volume: VolumeId) -> PendingRequest {
         PendingRequest {
             client,
             request,
+            volume,
             in_flight: Vec::new(),
             attempts: 0,
             may_have_run_since: None,
@@ -106,6 +109,11 @@
         self.clients.len()
     }
 
+    /// The volumes of all operations.
+    pub(crate) fn volumes(&self) -> BTreeSet<VolumeId> {
+        self.requests.values().map(|pending| pending.volume).collect()
+    }
+
     /// The operation that a client waits for.
     pub(crate) fn op_of(&self, client: ClientId) -> Option<OpId> {
         self.clients.get(&client).copied()
@@ -120,12 +128,12 @@
     }
 
     /// Adds an operation, whose request id is in use from now on.
-    pub(crate) fn add(&mut self, client: ClientId, request: ClientRequest) {
+    pub(crate) fn add(&mut self, client: ClientId, request: ClientRequest, volume: VolumeId) {
         let op = OpId(self.next_op);
         self.next_op = self.next_op.wrapping_add(1);
         self.ids.insert(request.id_number);
         self.clients.insert(client, op);
-        self.requests.insert(op, PendingRequest::new(client, request));
+        self.requests.insert(op, PendingRequest::new(client, request, volume));
     }
 
     /// Ends an operation because it has its final response or its client has disconnected. Returns its
--- a/crates/http-api/src/request_ids.rs
+++ b/crates/http-api/src/request_ids.rs
@@ -10,6 +10,9 @@
     ended_at: Duration,
 }
 
+/// Number of ids that stay in use beyond the retention time, if there is capacity.
+const MAX_RETAINED: usize = 16 * 1024;
+
 /// Ids in use.
 ///
 /// Invariant: an id is in use from the check that admits its request, without a gap (rule 2). The id of an
@@ -41,14 +44,14 @@
     }
 
     /// Whether there is capacity for one more id. `retention` is how long the id of an ended operation has
-    /// to stay in use; older ones are forgotten as far as necessary.
+    /// to stay in use; of the older ones, only some are kept.
     pub(crate) fn has_capacity(&mut self, now: Duration, retention: Duration) -> bool {
-        while self.in_use.len() >= self.capacity {
+        while self.in_use.len() >= self.capacity.min(MAX_RETAINED) {
             let is_forgettable = |ended: &mut EndedId| ended.ended_at + retention <= now;
-            let Some(forgotten) = self.ended.pop_front_if(is_forgettable) else { return false };
+            let Some(forgotten) = self.ended.pop_front_if(is_forgettable) else { break };
             self.in_use.remove(&forgotten.id);
         }
-        true
+        self.in_use.len() < self.capacity
     }
 
     /// Takes an id into use.
--- a/crates/http-api/tests/core.rs
+++ b/crates/http-api/tests/core.rs
@@ -17,7 +17,7 @@
 
 const LIMITS: Limits = Limits { head: 8192, body: 65536 };
 const START: Duration = Duration::from_secs(1_700_000_000);
-const TABLE_LIMITS: TableLimits = TableLimits { request_ids: 100 };
+const TABLE_LIMITS: TableLimits = TableLimits { request_ids: 100, volumes: 50 };
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -377,6 +377,34 @@
     assert_eq!((id_status(&harness, &order(0)), id_status(&harness, &order(1))), (200, 409));
 }
 
+/// Guards against memory that grows with every name that clients send: volumes that owe nothing are forgotten,
+/// and beyond the limit a volume is rejected until others are.
+#[test]
+fn volumes_beyond_limit_are_rejected_until_others_are_forgotten() {
+    let mut harness = Harness::new();
+    let of_volume = |n: u64| {
+        let target = format!("/look/{n:016x}/00000000000000bb");
+        request("GET", &target, &fields(&format!("{n:016x}"), "units=2,shard=0,hosts=2"), "")
+    };
+    let mut n = 0;
+    let rejected = loop {
+        n += 1;
+        match harness.admit(&of_volume(n)) {
+            Ok(client) => _ = harness.handle(vec![Input::Request { client, started_at: harness.now }]),
+            Err(error) => break error,
+        }
+        assert!(n <= 10 * TABLE_LIMITS.volumes as u64, "volume {n} is admitted");
+        harness.core.set_table_limits(TableLimits { request_ids: 10_000, ..TABLE_LIMITS });
+    };
+    assert_eq!(rejected, AdmissionError::TooManyVolumes);
+    harness.admit(&of_volume(1)).expect_err("its id is in use; its volume is known");
+    harness.advance(ms(60_000));
+    for n in n..n + 2 * TABLE_LIMITS.volumes as u64 {
+        let client = harness.admit(&of_volume(n)).expect("others were forgotten");
+        harness.handle(vec![Input::Request { client, started_at: harness.now }]);
+    }
+}
+
 #[test]
 fn attempt_carries_checked_request_and_response_carries_store_body() {
     let mut harness = Harness::new();
--- a/crates/http-api/tests/golden.rs
+++ b/crates/http-api/tests/golden.rs
@@ -26,7 +26,8 @@
 
 fn core() -> Core {
     let configuration = Config::parse(CONFIGURATION).expect("a valid configuration");
-    let mut core = Core::start(&configuration, TableLimits { request_ids: 100 }, START).expect("it starts");
+    let mut core =
+        Core::start(&configuration, TableLimits { request_ids: 100, volumes: 50 }, START).expect("it starts");
     core.handle(START, vec![]);
     core
 }
--- a/crates/http-gateway/src/resource_limits.rs
+++ b/crates/http-gateway/src/resource_limits.rs
@@ -34,9 +34,14 @@
 const LIST_MEMORY: f64 = 1.0 / 16.0;
 
 /// Fraction of the memory for the request ids in use.
-const REQUEST_IDS_MEMORY: f64 = 1.0 / 64.0;
+const REQUEST_IDS_MEMORY: f64 = 1.0 / 16.0;
 /// Memory of one request id in use, with the unused part of the tables that hold it.
-const REQUEST_ID_BYTES: usize = 96;
+const REQUEST_ID_BYTES: usize = 48;
+
+/// Fraction of the memory for the volumes that are known before any is forgotten.
+const VOLUMES_MEMORY: f64 = 1.0 / 16.0;
+/// Memory of one volume, with its queues at two stores.
+const VOLUME_BYTES: usize = 768;
 
 /// Limits cannot be derived from the configuration.
 #[derive(Debug, thiserror::Error)]
@@ -112,7 +117,10 @@
             retry_after: max_retry_after.min(shortest_objective),
             store_connections,
             single_store_connections: fraction_of(store_connections, SINGLE_STORE),
-            tables: TableLimits { request_ids: fraction_of(memory, REQUEST_IDS_MEMORY) / REQUEST_ID_BYTES },
+            tables: TableLimits {
+                request_ids: fraction_of(memory, REQUEST_IDS_MEMORY) / REQUEST_ID_BYTES,
+                volumes: fraction_of(memory, VOLUMES_MEMORY) / VOLUME_BYTES,
+            },
             timeouts,
         })
     }
--- a/src/scheduler/fair_queue.rs
+++ b/src/scheduler/fair_queue.rs
@@ -4,9 +4,10 @@
 //! next quantum goes to the volume of the smallest virtual time, which grows by the units served divided by
 //! the weight of the volume's plan.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::store::LATENCY_SMOOTHING;
 use crate::interface::{Op, OpId, VolumeId};
 
 /// A volume that has had no ops at a store for this long is removed there; trust in a snapshot decays with
@@ -52,10 +53,13 @@
 
     /// Units served through other gateways count too, whereas Argon assumes that one scheduler sees the full
     /// load.
-    pub(super) fn finish_attempt(&mut self, now: Duration, units_elsewhere_per_weight: f64) {
+    fn finish_attempt(&mut self, now: Duration, units_elsewhere_per_weight: f64, latency: Option<f64>) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.last_used = now;
         self.virtual_time += units_elsewhere_per_weight;
+        if let Some(latency) = latency {
+            self.latency += LATENCY_SMOOTHING * (latency - self.latency);
+        }
     }
 }
 
@@ -78,10 +82,12 @@
 
 /// The queues of all volumes at one store.
 ///
-/// Invariant: `queued_count` is the sum of the queues' lengths.
+/// Invariant: `queued_count` is the sum of the queues' lengths, and `active` names exactly the volumes with ops
+/// queued or in flight. Events examine the active volumes only, since any number of others may be known.
 #[derive(Default)]
 pub(super) struct FairQueue {
     volumes: BTreeMap<VolumeId, VolumeQueue>,
+    active: BTreeSet<VolumeId>,
     pub(super) quantum: Option<Quantum>,
     /// The key of the last op sent; consecutive ops on one key are kept together.
     pub(super) last_key: Option<u64>,
@@ -97,13 +103,23 @@
         self.volumes.get(&id)
     }
 
-    pub(super) fn volume_mut(&mut self, id: VolumeId) -> Option<&mut VolumeQueue> {
-        self.volumes.get_mut(&id)
+    /// Number of known volumes.
+    pub(super) fn volume_count(&self) -> usize {
+        self.volumes.len()
+    }
+
+    /// All known volumes.
+    pub(super) fn known_volumes(&self) -> impl Iterator<Item = VolumeId> {
+        self.volumes.keys().copied()
+    }
+
+    fn active_queues(&self) -> impl Iterator<Item = (VolumeId, &VolumeQueue)> {
+        self.active.iter().map(|id| (*id, &self.volumes[id]))
     }
 
     /// All queued ops, by volume and in the order in which they were enqueued.
     pub(super) fn queued_ops(&self) -> Vec<OpId> {
-        self.volumes.values().flat_map(|queue| queue.queued.iter().copied()).collect()
+        self.active_queues().flat_map(|(_, queue)| queue.queued.iter().copied()).collect()
     }
 
     pub(super) fn virtual_times(&self) -> Vec<(VolumeId, f64)> {
@@ -116,12 +132,9 @@
     /// the smallest in the latter case, a volume that had been served alone would wait until a newcomer had
     /// been served as much.
     fn virtual_time_floor(&self) -> f64 {
-        let times = |is_active: bool| {
-            let queues = self.volumes.values().filter(move |queue| queue.is_active() == is_active);
-            queues.map(|queue| queue.virtual_time)
-        };
-        let of_active = times(true).reduce(f64::min);
-        of_active.or_else(|| times(false).reduce(f64::max)).unwrap_or(0.0)
+        let of_active = self.active_queues().map(|(_, queue)| queue.virtual_time).reduce(f64::min);
+        let of_idle = || self.volumes.values().map(|queue| queue.virtual_time).reduce(f64::max);
+        of_active.or_else(of_idle).unwrap_or(0.0)
     }
 
     /// Adds an op to its volume's queue. `rank` orders the ops of a volume, smallest first.
@@ -141,6 +154,7 @@
         let position = queue.ranked.partition_point(|(other, _)| rank(other) < rank(&entry.op));
         queue.ranked.insert(position, (entry.op, entry.key));
         queue.queued.push(entry.op);
+        self.active.insert(entry.volume);
     }
 
     pub(super) fn dequeue(&mut self, op: OpId, volume: VolumeId) {
@@ -149,6 +163,32 @@
             queue.queued.retain(|other| *other != op);
             queue.ranked.retain(|(other, _)| *other != op);
         }
+        self.deactivate_if_idle(volume);
+    }
+
+    /// An idle queue keeps no memory for its ops, since any number of volumes may be known.
+    fn deactivate_if_idle(&mut self, volume: VolumeId) {
+        if let Some(queue) = self.volumes.get_mut(&volume)
+            && !queue.is_active()
+        {
+            (queue.queued, queue.ranked) = (Vec::new(), Vec::new());
+            self.active.remove(&volume);
+        }
+    }
+
+    /// An attempt of a volume's op ends. `units_elsewhere_per_weight` is what the store served for the volume
+    /// through other gateways; `latency` is absent if it is not valid.
+    pub(super) fn on_attempt_finished(
+        &mut self,
+        volume: VolumeId,
+        now: Duration,
+        units_elsewhere_per_weight: f64,
+        latency: Option<f64>,
+    ) {
+        if let Some(queue) = self.volumes.get_mut(&volume) {
+            queue.finish_attempt(now, units_elsewhere_per_weight, latency);
+        }
+        self.deactivate_if_idle(volume);
     }
 
     /// An attempt of a known volume's op starts. `units_per_weight` is its units divided by the weight of the
@@ -163,6 +203,7 @@
         self.last_key = op.key;
         if let Some(queue) = self.volumes.get_mut(&op.volume) {
             queue.start_attempt(now, units_per_weight, pacing);
+            self.active.insert(op.volume);
         }
         if let Some(quantum) = &mut self.quantum {
             quantum.ops_left -= 1.0;
@@ -171,8 +212,8 @@
 
     /// Volumes with queued ops, by ascending virtual time.
     pub(super) fn waiting_volumes(&self) -> Vec<VolumeId> {
-        let waiting = self.volumes.iter().filter(|(_, queue)| !queue.queued.is_empty());
-        let mut waiting: Vec<_> = waiting.map(|(id, queue)| (queue.virtual_time, *id)).collect();
+        let waiting = self.active_queues().filter(|(_, queue)| !queue.queued.is_empty());
+        let mut waiting: Vec<_> = waiting.map(|(id, queue)| (queue.virtual_time, id)).collect();
         waiting.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         waiting.into_iter().map(|(_, id)| id).collect()
     }
@@ -181,6 +222,16 @@
         self.volumes.retain(|_, queue| queue.is_active() || queue.last_used + IDLE_TIMEOUT > now);
     }
 
+    /// Drops the idle volumes whose next op will be treated as that of a new volume: those that have not been
+    /// served more than the others. Volumes of which `is_kept` holds stay.
+    pub(super) fn drop_settled(&mut self, is_kept: impl Fn(VolumeId) -> bool) {
+        let floor = self.virtual_time_floor();
+        let holder = self.quantum.as_ref().map(|quantum| quantum.volume);
+        self.volumes.retain(|id, queue| {
+            queue.is_active() || queue.virtual_time >= floor || Some(*id) == holder || is_kept(*id)
+        });
+    }
+
     /// Adds the virtual time from an earlier run, already scaled by its trust.
     pub(super) fn restore(
         &mut self,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -28,7 +28,7 @@
 mod store_table;
 mod sweep;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use self::admission::LongestTimeLeft;
@@ -74,6 +74,20 @@
         std::mem::take(&mut state.actions)
     }
 
+    /// Forgets volumes that owe nothing: without ops, not served more than others at any store, and with full
+    /// buckets of their limits. Returns them; their ids must not be used again. Volumes in `kept` stay.
+    ///
+    /// Only the average latency of their ops is lost. A host that never calls this keeps all volumes.
+    pub fn forget_idle_volumes(&mut self, now: Duration, kept: &BTreeSet<VolumeId>) -> Vec<VolumeId> {
+        self.state.as_mut().map_or_else(Vec::new, |state| state.forget_idle_volumes(now, kept))
+    }
+
+    /// Number of queues of a volume at a store.
+    pub fn volume_queue_count(&self) -> usize {
+        let stores = self.state.iter().flat_map(|state| state.stores.iter());
+        stores.map(|(_, store)| store.queues.volume_count()).sum()
+    }
+
     /// Number of active stores: those that are gone, or had work or an endpoint list update since the last
     /// sweep. The next sweep examines at most these.
     pub fn active_store_count(&self) -> usize {
@@ -139,6 +153,19 @@
         Ok(state)
     }
 
+    fn forget_idle_volumes(&mut self, now: Duration, kept: &BTreeSet<VolumeId>) -> Vec<VolumeId> {
+        let mut in_use = kept.clone();
+        in_use.extend(self.ops.values().map(|pending| pending.op.volume));
+        for queues in self.stores.queues_mut() {
+            queues.drop_settled(|id| in_use.contains(&id));
+        }
+        for (_, store) in self.stores.iter() {
+            in_use.extend(store.queues.known_volumes());
+            in_use.extend(store.queues.quantum.as_ref().map(|quantum| quantum.volume));
+        }
+        self.quotas.forget_settled(&self.settings.plans, now, |id| in_use.contains(&id))
+    }
+
     fn store_baseline(&self) -> StoreBaseline {
         StoreBaseline { mean_units: self.mean_units, shortest_objective: self.shortest_objective }
     }
--- a/src/scheduler/quota.rs
+++ b/src/scheduler/quota.rs
@@ -16,6 +16,9 @@
 /// Number of previous limits of a plan that are kept separately; older ones are merged into their minimum.
 const MAX_PREVIOUS_LIMITS: usize = 16;
 
+/// A volume's rate is negligible up to this fraction of the rate that its plan guarantees.
+const NEGLIGIBLE_RATE_SHARE: f64 = 0.01;
+
 /// A plan's limit over all gateways; a rate of zero means no limit.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) struct Limit {
@@ -77,7 +80,7 @@
 }
 
 /// State of one volume at this gateway, over all stores.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct VolumeQuota {
     /// Units left of this gateway's part of the limit.
     tokens: f64,
@@ -115,6 +118,17 @@
         self.updated_at = now;
     }
 
+    /// Whether the bucket is full, nothing is reserved, and the known rate is at most `negligible_rate`.
+    fn is_settled(&self, limits: &LimitHistory, negligible_rate: f64, now: Duration) -> bool {
+        let mut advanced = self.clone();
+        advanced.advance(limits, now);
+        let limit = limits.current;
+        let capacity = limit.burst / advanced.gateways.max(1.0);
+        let is_full = limit.is_unlimited() || advanced.tokens >= capacity;
+        let has_reservation = self.reserved_tokens.iter().any(|reserved| now < reserved.until);
+        is_full && !has_reservation && advanced.known_rate() <= negligible_rate
+    }
+
     /// Tokens that may be drawn now.
     pub(super) fn available(&self, now: Duration) -> f64 {
         let reserved = self.reserved_tokens.iter().filter(|reserved| now < reserved.until);
@@ -203,6 +217,27 @@
         volume.advance(&self.limits[plan], now);
     }
 
+    /// Forgets the volumes whose next op will be treated as that of a new volume: their buckets are full,
+    /// nothing of them is reserved, and their rates are negligible (rule 7). Volumes of which `is_kept` holds
+    /// stay.
+    pub(super) fn forget_settled(
+        &mut self,
+        plans: &[Plan],
+        now: Duration,
+        is_kept: impl Fn(VolumeId) -> bool,
+    ) -> Vec<VolumeId> {
+        let limits = &self.limits;
+        let is_settled = |volume: &VolumeQuota| {
+            volume.plan.is_some_and(|plan| {
+                volume.is_settled(&limits[plan], plans[plan].guaranteed_rate * NEGLIGIBLE_RATE_SHARE, now)
+            })
+        };
+        let settled = self.volumes.iter().filter(|(id, volume)| !is_kept(**id) && is_settled(volume));
+        let settled: Vec<VolumeId> = settled.map(|(id, _)| *id).collect();
+        settled.iter().for_each(|id| _ = self.volumes.remove(id));
+        settled
+    }
+
     /// Reserves a fraction of each volume's tokens for the promised time from now on, and returns the current
     /// state.
     pub(super) fn snapshot(
--- a/src/scheduler/store.rs
+++ b/src/scheduler/store.rs
@@ -12,7 +12,7 @@
 use crate::interface::{Endpoint, OpId, Outcome, StoreState, VolumeId};
 
 /// Weight of a new response in the moving average of latency, as in Argon.
-const LATENCY_SMOOTHING: f64 = 0.2;
+pub(super) const LATENCY_SMOOTHING: f64 = 0.2;
 /// Upper bound of the factor by which a response weighs more if its attempt started long after that of the
 /// previous response.
 const MAX_SMOOTHING_FACTOR: f64 = 2.0;
@@ -176,12 +176,9 @@
         let is_latency_valid = finished.outcome == Outcome::Succeeded && !is_stalled;
         self.in_flight.remove(&(finished.op, finished.attempt));
         self.recount_units_in_flight(now);
-        if let Some(queue) = self.queues.volume_mut(finished.volume) {
-            queue.finish_attempt(now, finished.units_elsewhere / finished.plan_weight);
-            if is_latency_valid {
-                queue.latency += LATENCY_SMOOTHING * (finished.latency - queue.latency);
-            }
-        }
+        let valid_latency = is_latency_valid.then_some(finished.latency);
+        let units_elsewhere_per_weight = finished.units_elsewhere / finished.plan_weight;
+        self.queues.on_attempt_finished(finished.volume, now, units_elsewhere_per_weight, valid_latency);
         // With only one response per second and constant smoothing, the average would lag by seconds.
         let gap = self.outlier.objectives_since_last_response(finished.started_at);
         let smoothing = LATENCY_SMOOTHING * gap.clamp(1.0, MAX_SMOOTHING_FACTOR);
--- a/src/scheduler/store_table.rs
+++ b/src/scheduler/store_table.rs
@@ -10,7 +10,7 @@
 use std::ops::Index;
 use std::time::Duration;
 
-use super::fair_queue::NewEntry;
+use super::fair_queue::{FairQueue, NewEntry};
 use super::settings::SchedulerSettings;
 use super::store::{Store, StoreBaseline};
 use super::sweep::SweepTime;
@@ -63,6 +63,11 @@
         ids.map(|(_, id)| (*id, &self.stores[id]))
     }
 
+    /// Iterates over the queues of all stores.
+    pub(super) fn queues_mut(&mut self) -> impl Iterator<Item = &mut FairQueue> {
+        self.stores.values_mut().map(|store| &mut store.queues)
+    }
+
     pub(super) fn with_queued_ops(&self) -> impl Iterator<Item = StoreId> {
         self.with_queued_ops.iter().copied()
     }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -2,6 +2,7 @@
 //! found.
 
 mod fleet;
+mod forgetting;
 
 use fleet::{TestFleet, endpoint, ms, op, settings};
 use quickcheck::{Gen, QuickCheck};
