Hold unread large answers to the budget in a test over processes

512 clients ask for 100 answers of 64 KiB each and read none, beside 8 usual ones. The budget of answers and the bound on what is read ahead do it; this adds the test.

--- a/crates/cli/tests/overload/memory.rs
+++ b/crates/cli/tests/overload/memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::bad_clients::{BODY, crowd, head};
+use crate::bad_clients::{BODY, crowd, crowd_without_reading, head, read_of_new_volume};
 use crate::store::Behavior;
 use crate::world::Expected::{Answered, Served};
 use crate::world::assert_held_at_all_limits;
@@ -64,3 +64,13 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_large_responses_are_held_within_memory() {
+    let large = Behavior { response_bytes: BODY, ..SMALL };
+    let first = |id: u64| (0..100).flat_map(|n| read_of_new_volume(id << 8 | n)).collect();
+    assert_held_at_all_limits("unread large responses", large, Answered, async |world| {
+        crowd_without_reading(world.node.address, world.crowd(), first).await;
+    })
+    .await;
+}
