--- a/crates/cli/tests/overload/memory.rs
+++ b/crates/cli/tests/overload/memory.rs
@@ -2,15 +2,23 @@
 
 use std::time::Duration;
 
-use crate::bad_clients::{BODY, crowd, crowd_without_reading, head, read_of_new_volume};
+use crate::bad_clients::{BODY, crowd, crowd_without_reading, flood_one_by_one, head, read_of_new_volume};
 use crate::store::Behavior;
 use crate::world::Expected::{Answered, Served};
-use crate::world::assert_held_at_all_limits;
+use crate::world::{LOAD_DURATION, assert_held_at_all_limits};
 
 /// A store that answers fast, with few bytes.
 const SMALL: Behavior =
     Behavior { latency: Duration::from_millis(2), response_bytes: 200, first_attempt_breaks_after: None };
 
+/// A request with many short fields and half of its body.
+fn many_short_fields(id: u64) -> Vec<u8> {
+    let head = String::from_utf8(head(id, BODY)).expect("text");
+    let fields: String = (0..50).map(|n| format!("a{n}:\r\n")).collect();
+    let head = head.replace("\r\n\r\n", &format!("\r\n{fields}\r\n"));
+    [head.into_bytes(), vec![b'x'; BODY / 2]].concat()
+}
+
 /// Time for which a client that sends nothing more waits between two looks.
 const NEVER: Duration = Duration::from_secs(60);
 
@@ -34,14 +42,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_of_many_short_fields_are_held_within_memory() {
-    let first = |id| {
-        let head = String::from_utf8(head(id, BODY)).expect("text");
-        let fields: String = (0..50).map(|n| format!("a{n}:\r\n")).collect();
-        let head = head.replace("\r\n\r\n", &format!("\r\n{fields}\r\n"));
-        [head.into_bytes(), vec![b'x'; BODY / 2]].concat()
-    };
     assert_held_at_all_limits("heads of many short fields", SMALL, Served, async |world| {
-        crowd(world.node.address, world.crowd(), first, b"", NEVER).await;
+        crowd(world.node.address, world.crowd(), many_short_fields, b"", NEVER).await;
     })
     .await;
 }
@@ -74,3 +76,26 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_of_it_at_once_is_held_within_memory() {
+    let half_body = |id: u64| [head(id, BODY), vec![b'x'; BODY - 1]].concat();
+    let unread = |id: u64| (0..100).flat_map(|n| read_of_new_volume(id << 8 | n)).collect();
+    let large = Behavior { response_bytes: BODY / 2, ..SMALL };
+    assert_held_at_all_limits("all of it at once", large, Answered, async |world| {
+        let address = world.node.address;
+        let count = world.crowd() / 4;
+        let mut id = 1 << 48;
+        let next = move || {
+            id += 1;
+            read_of_new_volume(id)
+        };
+        tokio::join!(
+            crowd(address, count, half_body, b"", NEVER),
+            crowd(address, count, many_short_fields, b"", NEVER),
+            crowd_without_reading(address, count, unread),
+            flood_one_by_one(address, LOAD_DURATION, next),
+        );
+    })
+    .await;
+}
--- a/crates/http-gateway/src/resource_limits.rs
+++ b/crates/http-gateway/src/resource_limits.rs
@@ -28,7 +28,7 @@
 /// Fraction of the memory for the requests of all clients: received bytes, parsed heads and bodies.
 const REQUESTS_MEMORY: f64 = 0.125;
 /// Fraction of the memory for all responses, from their first byte until they are written to their clients.
-const RESPONSES_MEMORY: f64 = 0.1875;
+const RESPONSES_MEMORY: f64 = 0.125;
 /// Fraction of the memory for an endpoint list as received. The data structures built from it take several
 /// times as much.
 const LIST_MEMORY: f64 = 1.0 / 16.0;
