Free a lingering connection's input, and drain it before a close for capacity

- A connection whose half request got 408 kept what it had received until its lingering close was over.
That memory counts against the budget and cannot be evicted there, so others could be rejected for it.

--- a/crates/http-gateway/src/client/responding.rs
+++ b/crates/http-gateway/src/client/responding.rs
@@ -224,12 +224,21 @@
         let demand = self.state.demand();
         let greater_demand = self.greater_demand();
         let deadline = self.state_deadline.into();
+        self.input.borrow_mut().clear();
+        let event_loop = self.event_loop.clone();
+        let id = self.id;
         let discard = async {
             let mut discarded = BytesMut::with_capacity(DISCARD_SIZE);
             while matches!(self.stream.read_buf(&mut discarded).await, Ok(1..)) {
+                if discarded.len() < discarded.capacity() {
+                    continue;
+                }
+                discarded.clear();
                 // A client that sends without a pause must not keep the others waiting.
-                if discarded.len() == discarded.capacity() {
-                    discarded.clear();
+                //
+                // Hazard: the close for capacity follows as soon as this waits, and what is unread then
+                // resets the connection.
+                if super::demand(&event_loop, id) < CloseDemand::ForCapacity {
                     yield_now().await;
                 }
             }
--- a/crates/http-gateway/src/client_input.rs
+++ b/crates/http-gateway/src/client_input.rs
@@ -128,6 +128,12 @@
         self.release_unused();
     }
 
+    /// Drops everything received; no request is read any more.
+    pub(crate) fn clear(&mut self) {
+        self.requests.discard_partial();
+        self.drop_unparsed();
+    }
+
     /// The next complete request, or the error in the bytes received.
     pub(crate) fn next_event(&mut self) -> Result<RequestEvent, Malformed> {
         let next = self.requests.next_event();
